--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/id/RequestId.java
@@ -0,0 +1,35 @@
+package io.endiveshed.base.id;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Random 128-bit number of a caller's request, unique across entry daemons.
+ *
+ * @param high upper 64 bits
+ * @param low lower 64 bits
+ */
+public record RequestId(long high, long low) {
+    /** Draws a new request id. */
+    public static RequestId random(RandomGenerator random) {
+        return new RequestId(random.nextLong(), random.nextLong());
+    }
+
+    /** Parses the 32 hexadecimal digits that {@link #toString()} writes. */
+    public static RequestId parse(String text) {
+        if (text.length() != 32) {
+            throw new IllegalArgumentException(
+                    "request id must have 32 hexadecimal digits, but has " + text.length() + " characters");
+        }
+        return new RequestId(Long.parseUnsignedLong(text, 0, 16, 16), Long.parseUnsignedLong(text, 16, 32, 16));
+    }
+
+    @Override
+    public String toString() {
+        return hex(high) + hex(low);
+    }
+
+    private static String hex(long value) {
+        String digits = Long.toHexString(value);
+        return "0".repeat(16 - digits.length()) + digits;
+    }
+}
--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/id/ServiceName.java
@@ -0,0 +1,23 @@
+package io.endiveshed.base.id;
+
+/**
+ * Name of a plain service.
+ *
+ * @param value a name of 1 to 128 letters, digits or {@code ._:/-}
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+    /** Checks the form; throws {@link IllegalArgumentException} if it is wrong. */
+    public ServiceName {
+        Names.check("service", value);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids, typed errors and their outcomes, shared by every module. */
+package io.endiveshed.base;
--- /dev/null
+++ b/bench/src/main/java/io/endiveshed/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual-time policy harness and load tools; development only. */
+package io.endiveshed.bench;
--- /dev/null
+++ b/cli/src/main/java/io/endiveshed/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The endiveshed binary: entry daemon and operator commands. */
+package io.endiveshed.cli;
--- /dev/null
+++ b/entry/src/main/java/io/endiveshed/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Entry daemon. */
+package io.endiveshed.entry;
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/package-info.java
@@ -0,0 +1,2 @@
+/** Netty transports: HTTP server and clients, framed links. */
+package io.endiveshed.net;
--- /dev/null
+++ b/ports/src/main/java/io/endiveshed/ports/package-info.java
@@ -0,0 +1,2 @@
+/** Ports to the platform and to the targets. */
+package io.endiveshed.ports;
--- /dev/null
+++ b/settings/src/main/java/io/endiveshed/settings/package-info.java
@@ -0,0 +1,2 @@
+/** YAML settings, checked as a whole. */
+package io.endiveshed.settings;
--- /dev/null
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** Sidecar process beside one target. */
+package io.endiveshed.sidecar;
--- /dev/null
+++ b/verification/src/main/java/io/endiveshed/verification/package-info.java
@@ -0,0 +1,2 @@
+/** Architecture rules, specifications and history checks; tests only. */
+package io.endiveshed.verification;
