--- a/protocol/src/main/java/io/endiveshed/protocol/TargetKind.java
+++ b/base/src/main/java/io/endiveshed/base/id/TargetKind.java
@@ -1,4 +1,4 @@
-package io.endiveshed.protocol;
+package io.endiveshed.base.id;
 
 /** What stands behind a sidecar. */
 public enum TargetKind {
--- a/cli/src/main/java/io/endiveshed/cli/package-info.java
+++ b/cli/src/main/java/io/endiveshed/cli/package-info.java
@@ -1,2 +1,2 @@
-/** The endiveshed binary: entry daemon and operator commands. */
+/** The {@code endiveshed} binary: the entry daemon and the operators' commands. */
 package io.endiveshed.cli;
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable snapshots that controllers write and every part reads without locks. */
+package io.endiveshed.coordination.blackboard;
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/LeastOutstandingSelector.java
@@ -0,0 +1,26 @@
+package io.endiveshed.coordination.routing;
+
+import io.endiveshed.base.id.TargetId;
+import io.endiveshed.coordination.membership.TargetState;
+import io.endiveshed.coordination.membership.TargetView;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+
+/** Chooses the live target on which this process has the fewest requests outstanding. */
+public final class LeastOutstandingSelector implements TargetSelector {
+    private final ToIntFunction<TargetId> outstanding;
+
+    /** Makes a selector that reads the number of outstanding requests from a function. */
+    public LeastOutstandingSelector(ToIntFunction<TargetId> outstanding) {
+        this.outstanding = outstanding;
+    }
+
+    @Override
+    public Optional<TargetView> select(RoutingRequest request, List<TargetView> targets) {
+        return targets.stream()
+                .filter(target -> target.state() == TargetState.LIVE)
+                .min(Comparator.comparingInt(target -> outstanding.applyAsInt(target.id())));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a target for a request. */
+package io.endiveshed.coordination.routing;
--- /dev/null
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -0,0 +1,130 @@
+package io.endiveshed.entry;
+
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.net.http.HttpServerLimits;
+import io.endiveshed.net.link.LinkSecret;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/** Settings of an entry daemon. */
+public final class EntrySettings {
+    private final InstanceId instance;
+    private final Region region;
+    private final FailureDomain failureDomain;
+    private final InetSocketAddress callerAddress;
+    private final InetSocketAddress linkAddress;
+    private final LinkSecret linkSecret;
+    private final HttpServerLimits limits;
+
+    private EntrySettings(Builder builder) {
+        this.instance = Objects.requireNonNull(builder.instance, "instance");
+        this.region = Objects.requireNonNull(builder.region, "region");
+        this.failureDomain = Objects.requireNonNull(builder.failureDomain, "failureDomain");
+        this.callerAddress = Objects.requireNonNull(builder.callerAddress, "callerAddress");
+        this.linkAddress = Objects.requireNonNull(builder.linkAddress, "linkAddress");
+        this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
+        this.limits = builder.limits;
+    }
+
+    /** Starts settings. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the instance on which the daemon runs. */
+    public InstanceId instance() {
+        return instance;
+    }
+
+    /** Returns the region of the instance. */
+    public Region region() {
+        return region;
+    }
+
+    /** Returns the failure domain of the instance. */
+    public FailureDomain failureDomain() {
+        return failureDomain;
+    }
+
+    /** Returns the address on which callers are answered. */
+    public InetSocketAddress callerAddress() {
+        return callerAddress;
+    }
+
+    /** Returns the address to which sidecars open links. */
+    public InetSocketAddress linkAddress() {
+        return linkAddress;
+    }
+
+    /** Returns the secret shared with sidecars. */
+    public LinkSecret linkSecret() {
+        return linkSecret;
+    }
+
+    /** Returns the limits on what callers may send. */
+    public HttpServerLimits limits() {
+        return limits;
+    }
+
+    /** Builder of settings; every value without a default must be set. */
+    public static final class Builder {
+        private InstanceId instance;
+        private Region region;
+        private FailureDomain failureDomain;
+        private InetSocketAddress callerAddress;
+        private InetSocketAddress linkAddress;
+        private LinkSecret linkSecret;
+        private HttpServerLimits limits = HttpServerLimits.defaults();
+
+        private Builder() {}
+
+        /** Sets the instance on which the daemon runs. */
+        public Builder instance(InstanceId value) {
+            this.instance = value;
+            return this;
+        }
+
+        /** Sets the region of the instance. */
+        public Builder region(Region value) {
+            this.region = value;
+            return this;
+        }
+
+        /** Sets the failure domain of the instance. */
+        public Builder failureDomain(FailureDomain value) {
+            this.failureDomain = value;
+            return this;
+        }
+
+        /** Sets the address on which callers are answered. */
+        public Builder callerAddress(InetSocketAddress value) {
+            this.callerAddress = value;
+            return this;
+        }
+
+        /** Sets the address to which sidecars open links. */
+        public Builder linkAddress(InetSocketAddress value) {
+            this.linkAddress = value;
+            return this;
+        }
+
+        /** Sets the secret shared with sidecars. */
+        public Builder linkSecret(LinkSecret value) {
+            this.linkSecret = value;
+            return this;
+        }
+
+        /** Sets the limits on what callers may send. */
+        public Builder limits(HttpServerLimits value) {
+            this.limits = value;
+            return this;
+        }
+
+        /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
+        public EntrySettings build() {
+            return new EntrySettings(this);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/endiveshed/entry/internal/BodySender.java
@@ -0,0 +1,47 @@
+package io.endiveshed.entry.internal;
+
+import io.endiveshed.base.id.AttemptId;
+import io.endiveshed.net.link.Link;
+import io.endiveshed.protocol.Message;
+import io.endiveshed.protocol.ProtocolLimits;
+import java.util.Arrays;
+
+/** Sends a request body in chunks, a few at a time, so that other requests can use the link in between. */
+final class BodySender {
+    /** Chunks that may wait in the link's write buffer. */
+    private static final int CHUNKS_IN_FLIGHT = 4;
+
+    private final Link link;
+    private final AttemptId attempt;
+    private final byte[] body;
+    private int offset;
+    private boolean done;
+
+    BodySender(Link link, AttemptId attempt, byte[] body) {
+        this.link = link;
+        this.attempt = attempt;
+        this.body = body;
+    }
+
+    void send() {
+        for (int i = 0; i < CHUNKS_IN_FLIGHT; i++) {
+            sendNext();
+        }
+    }
+
+    private synchronized void sendNext() {
+        if (done) {
+            return;
+        }
+        int from = offset;
+        int to = Math.min(body.length, from + ProtocolLimits.MAX_CHUNK_BYTES);
+        offset = to;
+        done = to == body.length;
+        Message.BodyChunk chunk = new Message.BodyChunk(attempt, from, Arrays.copyOfRange(body, from, to), done);
+        if (done) {
+            link.send(chunk);
+        } else {
+            link.send(chunk, this::sendNext);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -0,0 +1,208 @@
+package io.endiveshed.entry.internal;
+
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.base.id.TargetId;
+import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.membership.TargetLoad;
+import io.endiveshed.coordination.membership.TargetState;
+import io.endiveshed.coordination.membership.TargetView;
+import io.endiveshed.entry.EntrySettings;
+import io.endiveshed.net.link.Link;
+import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.protocol.Lane;
+import io.endiveshed.protocol.Message;
+import io.endiveshed.protocol.ProtocolLimits;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.tinylog.Logger;
+
+/** The links from sidecars: authenticates them, keeps the fleet view up to date and hands on messages about calls. */
+public final class SidecarLinks implements LinkListener {
+    private static final int NONCE_BYTES = 16;
+
+    private final EntrySettings settings;
+    private final Incarnation incarnation;
+    private final RandomGenerator random;
+    private final Blackboard blackboard;
+    private final Map<Link, byte[]> challenged = new ConcurrentHashMap<>();
+    private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
+    private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
+    private CallMessages callMessages;
+
+    /** Makes the registry of links of one entry incarnation. */
+    public SidecarLinks(
+            EntrySettings settings, Incarnation incarnation, RandomGenerator random, Blackboard blackboard) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.random = random;
+        this.blackboard = blackboard;
+    }
+
+    /** Sets the receiver of messages about calls; must be called before the first link opens. */
+    public void callMessages(CallMessages receiver) {
+        this.callMessages = receiver;
+    }
+
+    /** Returns the link for a body of the given length, if the sidecar is linked. */
+    public Optional<Link> link(TargetId target, long bodyBytes) {
+        Sidecar sidecar = sidecars.get(target);
+        return sidecar == null ? Optional.empty() : Optional.ofNullable(sidecar.link(bodyBytes));
+    }
+
+    /** Returns the number of requests that this entry has outstanding on a target. */
+    public int outstanding(TargetId target) {
+        Sidecar sidecar = sidecars.get(target);
+        return sidecar == null ? 0 : sidecar.outstanding.get();
+    }
+
+    /** Adds to the number of outstanding requests of a target. */
+    public void addOutstanding(TargetId target, int change) {
+        Sidecar sidecar = sidecars.get(target);
+        if (sidecar != null) {
+            sidecar.outstanding.addAndGet(change);
+        }
+    }
+
+    @Override
+    public void opened(Link link) {
+        byte[] nonce = new byte[NONCE_BYTES];
+        random.nextBytes(nonce);
+        challenged.put(link, nonce);
+        link.send(new Message.Challenge(
+                ProtocolLimits.VERSION, settings.instance().value(), incarnation, nonce));
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+        TargetId target = targets.get(link);
+        if (target == null) {
+            introduce(link, message);
+        } else if (message instanceof Message.LoadReport report) {
+            updateLoad(target, report);
+        } else if (message instanceof Message.Leaving) {
+            blackboard.fleet().update(fleet -> fleet.change(target, view -> view.withState(TargetState.LEAVING)));
+        } else if (message instanceof Message.Ping ping) {
+            link.send(new Message.Pong(ping.sequence()));
+        } else {
+            callMessages.received(target, message);
+        }
+    }
+
+    @Override
+    public void closed(Link link) {
+        challenged.remove(link);
+        TargetId target = targets.remove(link);
+        if (target == null) {
+            return;
+        }
+        Sidecar sidecar = sidecars.get(target);
+        if (sidecar != null && sidecar.remove(link)) {
+            sidecars.remove(target);
+            blackboard.fleet().update(fleet -> fleet.without(target));
+            Logger.info("target {} is not linked any more", target);
+        }
+        callMessages.linkClosed(target);
+    }
+
+    private void introduce(Link link, Message message) {
+        byte[] nonce = challenged.get(link);
+        if (!(message instanceof Message.Hello hello) || nonce == null) {
+            reject(link, "sent " + message.getClass().getSimpleName() + " before Hello");
+            return;
+        }
+        if (hello.version() != ProtocolLimits.VERSION) {
+            reject(link, "speaks protocol version " + hello.version() + ", not " + ProtocolLimits.VERSION);
+            return;
+        }
+        if (!settings.linkSecret().accepts("sidecar", nonce, hello.proof())) {
+            reject(link, "does not know the link secret");
+            return;
+        }
+        accept(link, hello);
+    }
+
+    private void accept(Link link, Message.Hello hello) {
+        challenged.remove(link);
+        TargetId target = new TargetId(new InstanceId(hello.instance()), hello.incarnation());
+        targets.put(link, target);
+        Sidecar sidecar = sidecars.computeIfAbsent(target, id -> new Sidecar());
+        sidecar.add(hello.lane(), link);
+        link.send(new Message.Welcome(
+                blackboard.configuration().read().revision().value(),
+                settings.linkSecret().proof("entry", hello.nonce())));
+        if (sidecar.hasAllLanes()) {
+            blackboard.fleet().update(fleet -> fleet.with(view(target, hello)));
+            Logger.info("target {} serves {}", target, hello.serves());
+        }
+    }
+
+    private static TargetView view(TargetId target, Message.Hello hello) {
+        return new TargetView(
+                target,
+                hello.targetKind(),
+                hello.serves(),
+                new Region(hello.region()),
+                new FailureDomain(hello.failureDomain()),
+                hello.kvCapacityTokens(),
+                TargetState.LIVE,
+                TargetLoad.NONE);
+    }
+
+    private void updateLoad(TargetId target, Message.LoadReport report) {
+        TargetLoad load = new TargetLoad(
+                report.sequence(),
+                System.nanoTime(),
+                report.running(),
+                report.queued(),
+                report.queuedTokens(),
+                report.outstandingTokens(),
+                report.freeKvTokens());
+        TargetState state = report.leaving() ? TargetState.LEAVING : TargetState.LIVE;
+        blackboard
+                .fleet()
+                .update(fleet ->
+                        fleet.change(target, view -> view.withLoad(load).withState(state)));
+    }
+
+    private static void reject(Link link, String reason) {
+        Logger.warn("link from {} refused: the peer {}", link.remoteAddress(), reason);
+        link.close();
+    }
+
+    /** The links of one sidecar and the work outstanding on it. */
+    private static final class Sidecar {
+        private final AtomicInteger outstanding = new AtomicInteger();
+        private volatile Map<Lane, Link> lanes = Map.of();
+
+        synchronized void add(Lane lane, Link link) {
+            Map<Lane, Link> copy = new EnumMap<>(Lane.class);
+            copy.putAll(lanes);
+            copy.put(lane, link);
+            lanes = copy;
+        }
+
+        /** Removes a link and tells whether the sidecar has lost a lane with it. */
+        synchronized boolean remove(Link link) {
+            Map<Lane, Link> copy = new EnumMap<>(Lane.class);
+            copy.putAll(lanes);
+            boolean removed = copy.values().remove(link);
+            lanes = copy;
+            return removed;
+        }
+
+        boolean hasAllLanes() {
+            return lanes.size() == Lane.values().length;
+        }
+
+        Link link(long bodyBytes) {
+            return lanes.get(bodyBytes > ProtocolLimits.SHORT_LANE_MAX_BODY_BYTES ? Lane.LONG : Lane.SHORT);
+        }
+    }
+}
--- a/entry/src/main/java/io/endiveshed/entry/package-info.java
+++ b/entry/src/main/java/io/endiveshed/entry/package-info.java
@@ -1,2 +1,2 @@
-/** Entry daemon. */
+/** Entry daemon: answers callers and sends their requests to targets through sidecars. */
 package io.endiveshed.entry;
--- a/local/src/main/java/io/endiveshed/local/package-info.java
+++ b/local/src/main/java/io/endiveshed/local/package-info.java
@@ -1,2 +1,2 @@
-/** The local command: a whole deployment in one process; development only. */
+/** A whole deployment in one process, for development and tests only. */
 package io.endiveshed.local;
--- /dev/null
+++ b/local/src/main/resources/META-INF/services/io.endiveshed.cli.Command
@@ -0,0 +1,1 @@
+io.endiveshed.local.LocalCommand
--- /dev/null
+++ b/local/src/test/java/io/endiveshed/local/LocalDeploymentTest.java
@@ -0,0 +1,82 @@
+package io.endiveshed.local;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.standins.EngineStandIn;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Sends requests through entry, sidecars and stand-ins over real connections. */
+final class LocalDeploymentTest {
+    private static final int CALLERS = 200;
+    private static final int MILLION = 1_000_000;
+
+    private final LocalDeployment deployment = new LocalDeployment(0);
+    private final HttpClient client = HttpClient.newHttpClient();
+
+    @BeforeEach
+    void start() {
+        deployment.start();
+    }
+
+    @AfterEach
+    void stop() {
+        deployment.stop();
+    }
+
+    /** Guards against answers that reach another caller. */
+    @Test
+    void concurrentCallersGetTheirOwnAnswers() {
+        List<CompletableFuture<HttpResponse<String>>> answers = IntStream.range(0, CALLERS)
+                .mapToObj(i -> client.sendAsync(completion("prompt " + i, false), BodyHandlers.ofString()))
+                .toList();
+        for (int i = 0; i < CALLERS; i++) {
+            assertThat(answers.get(i).join().body()).contains(EngineStandIn.answer("prompt " + i, 4));
+        }
+    }
+
+    /** Guards against limits that cut the longest prompts, and against truncated streams. */
+    @Test
+    void promptOfAMillionTokensIsAnsweredWhole() throws Exception {
+        String prompt = "word".repeat(MILLION);
+        assertThat(send(completion(prompt, false)).body()).contains(EngineStandIn.answer(prompt, 4));
+        assertThat(send(completion(prompt, true)).body()).endsWith("data: [DONE]\n\n");
+    }
+
+    /** Guards against errors without outcome or remedy. */
+    @Test
+    void unknownModelIsRefusedAsNotRun() throws Exception {
+        HttpResponse<String> response = send(request("/v1/completions")
+                .POST(BodyPublishers.ofString("{\"model\":\"missing\"}"))
+                .build());
+        assertThat(response.statusCode()).isEqualTo(404);
+        assertThat(response.body()).contains("\"outcome\":\"not_run\"");
+        assertThat(response.body()).contains("\"remedy\":");
+    }
+
+    private HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return client.send(request, BodyHandlers.ofString());
+    }
+
+    private HttpRequest completion(String prompt, boolean stream) {
+        String body = "{\"model\":\"" + LocalDeployment.MODEL + "\",\"prompt\":\"" + prompt
+                + "\",\"max_tokens\":4,\"stream\":" + stream + "}";
+        return request("/v1/completions").POST(BodyPublishers.ofString(body)).build();
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + deployment.port() + path))
+                .header("Authorization", "Bearer " + LocalDeployment.KEY);
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -0,0 +1,69 @@
+package io.endiveshed.net.http;
+
+import io.endiveshed.net.http.internal.ServerConnection;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+
+/**
+ * HTTP server that hands whole requests to a handler.
+ *
+ * <pre>{@code
+ * HttpServer server = new HttpServer(loops, address, HttpServerLimits.defaults(), (request, response) ->
+ *         response.respond(200, List.of(), "ok".getBytes(UTF_8)));
+ * server.start();
+ * }</pre>
+ */
+public final class HttpServer {
+    private final EventLoopGroup loops;
+    private final InetSocketAddress address;
+    private final HttpServerLimits limits;
+    private final HttpHandler handler;
+    private Channel channel;
+
+    /** Makes a server that listens once started. */
+    public HttpServer(EventLoopGroup loops, InetSocketAddress address, HttpServerLimits limits, HttpHandler handler) {
+        this.loops = loops;
+        this.address = address;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        channel = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel connection) {
+                        connection
+                                .pipeline()
+                                .addLast(new HttpServerCodec(new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(limits.maxHeaderBytes())
+                                        .setMaxHeaderSize(limits.maxHeaderBytes())))
+                                .addLast(new ServerConnection(limits, handler));
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Returns the port, which the system chose if the address named port 0. */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** Stops listening; open connections stay open. */
+    public void stop() {
+        channel.close().syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
@@ -0,0 +1,120 @@
+package io.endiveshed.net.http.internal;
+
+import io.endiveshed.net.http.ResponseSink;
+import io.endiveshed.protocol.Header;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+
+/** Writes the response to one request on its channel. State is confined to the channel's event loop. */
+final class ChannelResponseSink implements ResponseSink {
+    private final ChannelHandlerContext ctx;
+    private final boolean keepAlive;
+    private final boolean chunked;
+    private final Runnable whenFinished;
+    private Runnable disconnectAction;
+    private boolean finished;
+
+    ChannelResponseSink(ChannelHandlerContext ctx, boolean keepAlive, boolean chunked, Runnable whenFinished) {
+        this.ctx = ctx;
+        this.keepAlive = keepAlive;
+        this.chunked = chunked;
+        this.whenFinished = whenFinished;
+    }
+
+    @Override
+    public void respond(int status, List<Header> headers, byte[] body) {
+        onEventLoop(() -> {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+            addHeaders(response, headers);
+            HttpUtil.setContentLength(response, body.length);
+            HttpUtil.setKeepAlive(response, keepAlive);
+            finish(ctx.writeAndFlush(response), keepAlive);
+        });
+    }
+
+    @Override
+    public void start(int status, List<Header> headers) {
+        onEventLoop(() -> {
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            addHeaders(response, headers);
+            if (chunked) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            HttpUtil.setKeepAlive(response, keepAlive && chunked);
+            ctx.write(response, ctx.voidPromise());
+        });
+    }
+
+    @Override
+    public void write(byte[] bytes, Runnable whenWritten) {
+        onEventLoop(() -> ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+                .addListener(future -> whenWritten.run()));
+    }
+
+    @Override
+    public void end() {
+        onEventLoop(() -> finish(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive && chunked));
+    }
+
+    @Override
+    public void abort() {
+        onEventLoop(() -> {
+            finished = true;
+            ctx.close();
+            whenFinished.run();
+        });
+    }
+
+    @Override
+    public void onDisconnect(Runnable action) {
+        onEventLoop(() -> {
+            disconnectAction = action;
+            if (!ctx.channel().isActive()) {
+                disconnected();
+            }
+        });
+    }
+
+    /** Tells that the caller closed the connection. */
+    void disconnected() {
+        if (!finished && disconnectAction != null) {
+            Runnable action = disconnectAction;
+            disconnectAction = null;
+            action.run();
+        }
+    }
+
+    private void finish(ChannelFuture written, boolean keepOpen) {
+        finished = true;
+        if (!keepOpen) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        whenFinished.run();
+    }
+
+    private static void addHeaders(HttpResponse response, List<Header> headers) {
+        headers.forEach(header -> response.headers().add(header.name(), header.value()));
+    }
+
+    private void onEventLoop(Runnable task) {
+        if (ctx.executor().inEventLoop()) {
+            task.run();
+        } else {
+            ctx.executor().execute(task);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/link/Link.java
@@ -0,0 +1,18 @@
+package io.endiveshed.net.link;
+
+import io.endiveshed.protocol.Message;
+
+/** One open connection between an entry daemon and a sidecar. Safe for use by several threads. */
+public interface Link {
+    /** Sends a message; it is dropped if the link is closed. */
+    void send(Message message);
+
+    /** Sends a message and runs the action when it was written to the socket, or when that failed. */
+    void send(Message message, Runnable whenWritten);
+
+    /** Closes the link. */
+    void close();
+
+    /** Returns the remote address for log lines. */
+    String remoteAddress();
+}
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/link/LinkDialer.java
@@ -0,0 +1,36 @@
+package io.endiveshed.net.link;
+
+import io.endiveshed.net.link.internal.LinkPipeline;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+
+/** Opens links to entry daemons. */
+public final class LinkDialer {
+    /** Time to open a connection, in milliseconds. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+
+    private final EventLoopGroup loops;
+
+    /** Makes a dialer whose links run on the given event loops. */
+    public LinkDialer(EventLoopGroup loops) {
+        this.loops = loops;
+    }
+
+    /** Opens a link; runs the action if that fails. Otherwise the listener hears of the link. */
+    public void dial(InetSocketAddress address, LinkListener listener, Runnable whenFailed) {
+        new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new LinkPipeline(listener))
+                .connect(address)
+                .addListener(future -> {
+                    if (!future.isSuccess()) {
+                        whenFailed.run();
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
@@ -0,0 +1,37 @@
+package io.endiveshed.net.link.internal;
+
+import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.protocol.ProtocolLimits;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.concurrent.TimeUnit;
+
+/** Sets up the handlers of a link. */
+public final class LinkPipeline extends ChannelInitializer<Channel> {
+    /** Time without any frame after which a link counts as broken; both ends send at least every 500 ms. */
+    public static final int READ_TIMEOUT_SECONDS = 10;
+
+    private static final int LENGTH_FIELD_BYTES = 4;
+
+    private final LinkListener listener;
+
+    /** Makes an initializer whose links report to the listener. */
+    public LinkPipeline(LinkListener listener) {
+        this.listener = listener;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+        channel.config().setOption(ChannelOption.TCP_NODELAY, true);
+        channel.pipeline()
+                .addLast(new ReadTimeoutHandler(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                .addLast(new LengthFieldBasedFrameDecoder(
+                        ProtocolLimits.MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
+                .addLast(new LinkHandler(listener));
+    }
+}
--- a/net/src/main/java/io/endiveshed/net/package-info.java
+++ b/net/src/main/java/io/endiveshed/net/package-info.java
@@ -1,2 +1,2 @@
-/** Netty transports: HTTP server and clients, framed links. */
+/** Netty transports: the HTTP server and client and the framed links between entry daemons and sidecars. */
 package io.endiveshed.net;
--- a/protocol/src/main/java/io/endiveshed/protocol/Message.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/Message.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.TargetKind;
 import java.util.List;
 
 /** A message on a link between an entry daemon and a sidecar. */
--- a/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.protocol.Message.AttemptFailed;
 import io.endiveshed.protocol.Message.BodyChunk;
 import io.endiveshed.protocol.Message.Cancel;
@@ -135,32 +136,35 @@
 
     private static Message read(MessageUnpacker in, int elements) throws IOException {
         int type = in.unpackInt();
-        switch (type) {
-            case CHALLENGE:
+        return switch (type) {
+            case CHALLENGE -> {
                 Fields.expectCount(elements, 5, "Challenge");
-                return new Challenge(
+                yield new Challenge(
                         in.unpackInt(), Fields.readString(in), new Incarnation(in.unpackLong()), Fields.readBytes(in));
-            case HELLO:
+            }
+            case HELLO -> {
                 Fields.expectCount(elements, 13, "Hello");
-                return new Hello(
+                yield new Hello(
                         in.unpackInt(),
                         Fields.readString(in),
                         new Incarnation(in.unpackLong()),
                         Fields.readString(in),
                         Fields.readString(in),
-                        Fields.readEnum(in, TargetKind.values()),
+                        Fields.readEnum(in, TargetKind.class),
                         Fields.readStrings(in),
-                        Fields.readEnum(in, Lane.values()),
+                        Fields.readEnum(in, Lane.class),
                         in.unpackLong(),
                         in.unpackLong(),
                         Fields.readBytes(in),
                         Fields.readBytes(in));
-            case WELCOME:
+            }
+            case WELCOME -> {
                 Fields.expectCount(elements, 3, "Welcome");
-                return new Welcome(in.unpackLong(), Fields.readBytes(in));
-            case LOAD_REPORT:
+                yield new Welcome(in.unpackLong(), Fields.readBytes(in));
+            }
+            case LOAD_REPORT -> {
                 Fields.expectCount(elements, 9, "LoadReport");
-                return new LoadReport(
+                yield new LoadReport(
                         in.unpackLong(),
                         in.unpackInt(),
                         in.unpackInt(),
@@ -169,15 +173,16 @@
                         in.unpackLong(),
                         in.unpackBoolean(),
                         in.unpackLong());
-            case DISPATCH:
+            }
+            case DISPATCH -> {
                 Fields.expectCount(elements, 18, "Dispatch");
-                return new Dispatch(
+                yield new Dispatch(
                         Fields.readAttempt(in),
                         new Incarnation(in.unpackLong()),
                         in.unpackLong(),
                         Fields.readString(in),
                         in.unpackInt(),
-                        Fields.readEnum(in, TargetKind.values()),
+                        Fields.readEnum(in, TargetKind.class),
                         Fields.readString(in),
                         Fields.readString(in),
                         Fields.readHeaders(in),
@@ -187,60 +192,75 @@
                         in.unpackLong(),
                         in.unpackLong(),
                         in.unpackLong());
-            case BODY_CHUNK:
+            }
+            case BODY_CHUNK -> {
                 Fields.expectCount(elements, 7, "BodyChunk");
-                return new BodyChunk(Fields.readAttempt(in), in.unpackLong(), Fields.readBytes(in), in.unpackBoolean());
-            case RESPONSE_HEAD:
+                yield new BodyChunk(Fields.readAttempt(in), in.unpackLong(), Fields.readBytes(in), in.unpackBoolean());
+            }
+            case RESPONSE_HEAD -> {
                 Fields.expectCount(elements, 6, "ResponseHead");
-                return new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in));
-            case ATTEMPT_FAILED:
+                yield new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in));
+            }
+            case ATTEMPT_FAILED -> {
                 Fields.expectCount(elements, 8, "AttemptFailed");
-                return new AttemptFailed(
+                yield new AttemptFailed(
                         Fields.readAttempt(in),
-                        Fields.readEnum(in, ErrorKind.values()),
+                        Fields.readEnum(in, ErrorKind.class),
                         Fields.readString(in),
-                        Fields.readEnum(in, Outcome.values()),
+                        Fields.readEnum(in, Outcome.class),
                         in.unpackLong());
-            case CREDIT:
+            }
+            case CREDIT -> {
                 Fields.expectCount(elements, 5, "Credit");
-                return new Credit(Fields.readAttempt(in), in.unpackInt());
-            case CANCEL:
+                yield new Credit(Fields.readAttempt(in), in.unpackInt());
+            }
+            case CANCEL -> {
                 Fields.expectCount(elements, 4, "Cancel");
-                return new Cancel(Fields.readAttempt(in));
-            case CANCEL_ACK:
+                yield new Cancel(Fields.readAttempt(in));
+            }
+            case CANCEL_ACK -> {
                 Fields.expectCount(elements, 4, "CancelAck");
-                return new CancelAck(Fields.readAttempt(in));
-            case REVOKE:
+                yield new CancelAck(Fields.readAttempt(in));
+            }
+            case REVOKE -> {
                 Fields.expectCount(elements, 7, "Revoke");
-                return new Revoke(
+                yield new Revoke(
                         Fields.readAttempt(in), Fields.readString(in), Fields.readString(in), Fields.readString(in));
-            case REVOKE_RESULT:
+            }
+            case REVOKE_RESULT -> {
                 Fields.expectCount(elements, 5, "RevokeResult");
-                return new RevokeResult(Fields.readAttempt(in), Fields.readEnum(in, Outcome.values()));
-            case RESUME:
+                yield new RevokeResult(Fields.readAttempt(in), Fields.readEnum(in, Outcome.class));
+            }
+            case RESUME -> {
                 Fields.expectCount(elements, 5, "Resume");
-                return new Resume(Fields.readAttempt(in), in.unpackLong());
-            case LEAVING:
+                yield new Resume(Fields.readAttempt(in), in.unpackLong());
+            }
+            case LEAVING -> {
                 Fields.expectCount(elements, 2, "Leaving");
-                return new Leaving(in.unpackLong());
-            case CONFIG_OFFER:
+                yield new Leaving(in.unpackLong());
+            }
+            case CONFIG_OFFER -> {
                 Fields.expectCount(elements, 2, "ConfigOffer");
-                return new ConfigOffer(in.unpackLong());
-            case CONFIG_PULL:
+                yield new ConfigOffer(in.unpackLong());
+            }
+            case CONFIG_PULL -> {
                 Fields.expectCount(elements, 2, "ConfigPull");
-                return new ConfigPull(in.unpackLong());
-            case CONFIG_PIECE:
+                yield new ConfigPull(in.unpackLong());
+            }
+            case CONFIG_PIECE -> {
                 Fields.expectCount(elements, 5, "ConfigPiece");
-                return new ConfigPiece(in.unpackLong(), in.unpackInt(), in.unpackInt(), Fields.readBytes(in));
-            case PING:
+                yield new ConfigPiece(in.unpackLong(), in.unpackInt(), in.unpackInt(), Fields.readBytes(in));
+            }
+            case PING -> {
                 Fields.expectCount(elements, 2, "Ping");
-                return new Ping(in.unpackLong());
-            case PONG:
+                yield new Ping(in.unpackLong());
+            }
+            case PONG -> {
                 Fields.expectCount(elements, 2, "Pong");
-                return new Pong(in.unpackLong());
-            default:
-                throw new MalformedMessageException("unknown message type " + type);
-        }
+                yield new Pong(in.unpackLong());
+            }
+            default -> throw new MalformedMessageException("unknown message type " + type);
+        };
     }
 
     private static void writeChallenge(MessagePacker packer, Challenge m) throws IOException {
@@ -258,9 +278,9 @@
         packer.packLong(m.incarnation().value());
         packer.packString(m.region());
         packer.packString(m.failureDomain());
-        packer.packInt(m.targetKind().ordinal());
+        packer.packString(m.targetKind().name());
         Fields.writeStrings(packer, m.serves());
-        packer.packInt(m.lane().ordinal());
+        packer.packString(m.lane().name());
         packer.packLong(m.kvCapacityTokens());
         packer.packLong(m.revision());
         Fields.writeBytes(packer, m.nonce());
@@ -292,7 +312,7 @@
         packer.packLong(m.remainingMillis());
         packer.packString(m.account());
         packer.packInt(m.priority());
-        packer.packInt(m.targetKind().ordinal());
+        packer.packString(m.targetKind().name());
         packer.packString(m.method());
         packer.packString(m.path());
         Fields.writeHeaders(packer, m.headers());
@@ -322,9 +342,9 @@
     private static void writeAttemptFailed(MessagePacker packer, AttemptFailed m) throws IOException {
         Fields.writeStart(packer, 8, ATTEMPT_FAILED);
         Fields.writeAttempt(packer, m.attempt());
-        packer.packInt(m.kind().ordinal());
+        packer.packString(m.kind().name());
         packer.packString(m.message());
-        packer.packInt(m.outcome().ordinal());
+        packer.packString(m.outcome().name());
         packer.packLong(m.retryAfterMillis());
     }
 
@@ -355,7 +375,7 @@
     private static void writeRevokeResult(MessagePacker packer, RevokeResult m) throws IOException {
         Fields.writeStart(packer, 5, REVOKE_RESULT);
         Fields.writeAttempt(packer, m.attempt());
-        packer.packInt(m.outcome().ordinal());
+        packer.packString(m.outcome().name());
     }
 
     private static void writeResume(MessagePacker packer, Resume m) throws IOException {
--- a/protocol/src/main/java/io/endiveshed/protocol/internal/Fields.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/internal/Fields.java
@@ -101,13 +101,9 @@
         return values;
     }
 
-    /** Reads the ordinal of an enum value. */
-    public static <E extends Enum<E>> E readEnum(MessageUnpacker in, E[] values) throws IOException {
-        int ordinal = in.unpackInt();
-        if (ordinal < 0 || ordinal >= values.length) {
-            throw new MalformedMessageException("value " + ordinal + " is not one of " + values.length + " choices");
-        }
-        return values[ordinal];
+    /** Reads the name of an enum value. */
+    public static <E extends Enum<E>> E readEnum(MessageUnpacker in, Class<E> type) throws IOException {
+        return Enum.valueOf(type, in.unpackString());
     }
 
     private static int readArraySize(MessageUnpacker in) throws IOException {
--- a/sidecar/src/main/java/io/endiveshed/sidecar/package-info.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/package-info.java
@@ -1,2 +1,2 @@
-/** Sidecar process beside one target. */
+/** Sidecar: runs beside one target, queues its work and answers to entry daemons. */
 package io.endiveshed.sidecar;
--- /dev/null
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -0,0 +1,169 @@
+package io.endiveshed.standins;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.endiveshed.net.http.HttpRequestData;
+import io.endiveshed.net.http.HttpServer;
+import io.endiveshed.net.http.HttpServerLimits;
+import io.endiveshed.net.http.ResponseSink;
+import io.endiveshed.protocol.Header;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Model engine whose answer is derived from the prompt, so that an answer to another request shows.
+ *
+ * <p>The answer is the first 16 hexadecimal digits of the SHA-256 hash of the prompt text, followed by numbered words.
+ */
+public final class EngineStandIn {
+    private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
+    private static final Header JSON = new Header("content-type", "application/json");
+    private static final Header EVENTS = new Header("content-type", "text/event-stream");
+
+    private final HttpServer server;
+    private final Duration timePerToken;
+    private final EventLoopGroup loops;
+    private final AtomicInteger running = new AtomicInteger();
+
+    /** Makes an engine that takes the given time for each generated token. */
+    public EngineStandIn(EventLoopGroup loops, InetSocketAddress address, Duration timePerToken) {
+        this.loops = loops;
+        this.timePerToken = timePerToken;
+        HttpServerLimits limits =
+                new HttpServerLimits(16 * 1024, MAX_BODY_BYTES, Duration.ofSeconds(30), Duration.ofSeconds(30));
+        this.server = new HttpServer(loops, address, limits, this::handle);
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server.start();
+    }
+
+    /** Returns the port. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Returns the number of requests that hold memory now. */
+    public int running() {
+        return running.get();
+    }
+
+    /** Stops listening. */
+    public void stop() {
+        server.stop();
+    }
+
+    /** Returns the answer to a prompt, as one string of words. */
+    public static String answer(String prompt, int tokens) {
+        StringBuilder words = new StringBuilder(digest(prompt));
+        for (int i = 1; i < tokens; i++) {
+            words.append(' ').append(i);
+        }
+        return words.toString();
+    }
+
+    private void handle(HttpRequestData request, ResponseSink response) {
+        JsonObject body = JsonParser.parseString(new String(request.body(), StandardCharsets.UTF_8))
+                .getAsJsonObject();
+        String prompt = prompt(body);
+        int tokens = body.has("max_tokens") ? body.get("max_tokens").getAsInt() : 16;
+        boolean stream = body.has("stream") && body.get("stream").getAsBoolean();
+        running.incrementAndGet();
+        Generation generation = new Generation(response, answer(prompt, tokens).split(" "), stream);
+        response.onDisconnect(generation::cancel);
+        generation.start();
+    }
+
+    private static String prompt(JsonObject body) {
+        return body.has("prompt") ? body.get("prompt").getAsString() : String.valueOf(body.get("messages"));
+    }
+
+    private static String digest(String prompt) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(prompt.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash, 0, 8);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is part of every Java runtime", e);
+        }
+    }
+
+    /** One running request; steps run on one event loop at a time. */
+    private final class Generation {
+        private final ResponseSink response;
+        private final String[] words;
+        private final boolean stream;
+        private int next;
+        private boolean done;
+
+        Generation(ResponseSink response, String[] words, boolean stream) {
+            this.response = response;
+            this.words = words;
+            this.stream = stream;
+        }
+
+        void start() {
+            if (stream) {
+                response.start(200, List.of(EVENTS));
+            }
+            step();
+        }
+
+        synchronized void cancel() {
+            if (!done) {
+                done = true;
+                running.decrementAndGet();
+            }
+        }
+
+        private synchronized void step() {
+            if (done) {
+                return;
+            }
+            if (next == words.length) {
+                finish();
+                return;
+            }
+            if (stream) {
+                response.write(event(words[next], next), () -> {});
+            }
+            next++;
+            if (timePerToken.isZero()) {
+                step();
+            } else {
+                loops.schedule(this::step, timePerToken.toNanos(), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void finish() {
+            done = true;
+            running.decrementAndGet();
+            if (stream) {
+                response.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+                response.end();
+            } else {
+                response.respond(200, List.of(JSON), whole().getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        private byte[] event(String word, int index) {
+            JsonObject choice = new JsonObject();
+            choice.addProperty("text", index == 0 ? word : " " + word);
+            return ("data: {\"choices\":[" + choice + "]}\n\n").getBytes(StandardCharsets.UTF_8);
+        }
+
+        private String whole() {
+            JsonObject choice = new JsonObject();
+            choice.addProperty("text", String.join(" ", words));
+            return "{\"choices\":[" + choice + "]}";
+        }
+    }
+}
