--- /dev/null
+++ b/ports/src/main/java/io/endiveshed/ports/engine/EngineOrder.java
@@ -0,0 +1,24 @@
+package io.endiveshed.ports.engine;
+
+import io.endiveshed.base.id.FencingToken;
+
+/**
+ * Order to an engine.
+ *
+ * @param action what to do
+ * @param subject model, adapter, version or role that the action is about
+ * @param token fencing token of the lease under which the order is given
+ */
+public record EngineOrder(Action action, String subject, FencingToken token) {
+    /** Kinds of order. */
+    public enum Action {
+        /** Load a model. */
+        LOAD_MODEL,
+        /** Unload a model. */
+        UNLOAD_MODEL,
+        /** Load an adapter. */
+        LOAD_ADAPTER,
+        /** Change the role, such as prefill or decode. */
+        CHANGE_ROLE
+    }
+}
