--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -1,8 +1,10 @@
 package io.endiveshed.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
+import io.endiveshed.entry.internal.CallCounters;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.SidecarLinks;
@@ -39,6 +41,8 @@
     private final ThreadPoolExecutor parsers;
     private final HttpServer callers;
     private final LinkServer links;
+    private final Dispatcher dispatcher;
+    private final MetricRegistry metrics = new MetricRegistry();
 
     /** Makes a daemon that reads the configuration from the blackboard and writes the fleet to it. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
@@ -48,8 +52,9 @@
         this.parsers = new ThreadPoolExecutor(
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
         SidecarLinks sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard);
-        Dispatcher dispatcher = new Dispatcher(
-                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops);
+        CallCounters counters = new CallCounters(metrics);
+        this.dispatcher = new Dispatcher(
+                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
         sidecars.callMessages(dispatcher);
         CallerApi api = new CallerApi(blackboard, dispatcher, parsers);
         this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), api);
@@ -59,6 +64,7 @@
     /** Starts to accept links and callers. */
     public void start() {
         links.start();
+        dispatcher.start();
         callers.start();
         Logger.info(
                 "entry {} started: callers on port {}, links on port {}",
@@ -67,6 +73,11 @@
                 linkPort());
     }
 
+    /** Returns the metrics of the daemon. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
     /** Returns the port on which callers are answered. */
     public int callerPort() {
         return callers.port();
--- a/entry/src/main/java/io/endiveshed/entry/internal/BodySender.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/BodySender.java
@@ -16,6 +16,7 @@
     private final byte[] body;
     private int offset;
     private boolean done;
+    private boolean stopped;
 
     BodySender(Link link, AttemptId attempt, byte[] body) {
         this.link = link;
@@ -29,8 +30,18 @@
         }
     }
 
+    /** Ends the sending, because the attempt has ended. */
+    synchronized void stop() {
+        stopped = true;
+    }
+
+    /** Tells whether the last chunk was handed to the link. */
+    synchronized boolean isSent() {
+        return done;
+    }
+
     private synchronized void sendNext() {
-        if (done) {
+        if (done || stopped) {
             return;
         }
         int from = offset;
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -5,6 +5,7 @@
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.FailureException;
+import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.IdempotencyKey;
 import io.endiveshed.base.id.ModelName;
 import io.endiveshed.base.id.ServiceName;
@@ -26,6 +27,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import org.tinylog.Logger;
 
 /** The interface that callers see. */
 public final class CallerApi implements HttpHandler {
@@ -71,6 +73,14 @@
             route(request, response);
         } catch (FailureException e) {
             ErrorResponses.send(response, e.failure());
+        } catch (RuntimeException e) {
+            Logger.error(e, "{} {} ended by an unexpected error", request.method(), request.path());
+            ErrorResponses.send(
+                    response,
+                    Failure.of(ErrorKind.INTERNAL)
+                            .message("unexpected error")
+                            .outcome(Outcome.UNKNOWN)
+                            .build());
         }
     }
 
--- /dev/null
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Cancels.java
@@ -0,0 +1,64 @@
+package io.endiveshed.entry.internal;
+
+import io.endiveshed.base.id.AttemptId;
+import io.endiveshed.base.id.TargetId;
+import io.endiveshed.protocol.Message;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Repeats each {@code Cancel} until the sidecar acknowledges it, so that no attempt keeps engine memory. */
+final class Cancels {
+    /** Interval of the repetition. */
+    static final Duration REPEAT_INTERVAL = Duration.ofMillis(250);
+
+    /**
+     * Time after which a cancel to a target without link is forgotten. A sidecar cancels by itself what was without link
+     * for 5 s, and a replaced one cancels what its engine still runs, so the rest of this time is a safety margin.
+     */
+    private static final Duration MAX_AGE = Duration.ofSeconds(30);
+
+    private final SidecarLinks sidecars;
+    private final CallCounters counters;
+    private final Map<AttemptId, Pending> pending = new ConcurrentHashMap<>();
+
+    Cancels(SidecarLinks sidecars, CallCounters counters) {
+        this.sidecars = sidecars;
+        this.counters = counters;
+    }
+
+    /** Cancels an attempt now and until it is acknowledged. */
+    void cancel(AttemptId attempt, TargetId target, long bodyBytes) {
+        counters.cancel();
+        Pending cancel = new Pending(target, bodyBytes, System.nanoTime());
+        pending.put(attempt, cancel);
+        send(attempt, cancel);
+    }
+
+    void acknowledged(AttemptId attempt) {
+        pending.remove(attempt);
+    }
+
+    /** Sends every cancel again that was not acknowledged. */
+    void repeat() {
+        long now = System.nanoTime();
+        pending.forEach((attempt, cancel) -> {
+            boolean linked = send(attempt, cancel);
+            if (!linked && now - cancel.sinceNanos() > MAX_AGE.toNanos()) {
+                pending.remove(attempt);
+            }
+        });
+    }
+
+    /** The body's length selects the lane of the dispatch; on another lane the cancel could overtake it. */
+    private boolean send(AttemptId attempt, Pending cancel) {
+        return sidecars.link(cancel.target(), cancel.bodyBytes())
+                .map(link -> {
+                    link.send(new Message.Cancel(attempt));
+                    return true;
+                })
+                .orElse(false);
+    }
+
+    private record Pending(TargetId target, long bodyBytes, long sinceNanos) {}
+}
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -1,8 +1,6 @@
 package io.endiveshed.entry.internal;
 
-import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
-import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.base.id.RequestId;
 import io.endiveshed.base.id.TargetId;
@@ -10,7 +8,6 @@
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.routing.RoutingRequest;
 import io.endiveshed.coordination.routing.TargetSelector;
-import io.endiveshed.net.http.ErrorResponses;
 import io.endiveshed.net.http.ResponseSink;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.protocol.Message;
@@ -26,8 +23,16 @@
 import java.util.random.RandomGenerator;
 
 /** Sends requests to targets and their answers to callers. */
-public final class Dispatcher implements CallMessages {
-    private static final Duration RETRY_WITHOUT_TARGET = Duration.ofSeconds(2);
+public final class Dispatcher implements CallMessages, AttemptEvents {
+    /** Time that a sidecar keeps work whose link broke. */
+    private static final Duration RESUME_WAIT = Duration.ofSeconds(5);
+
+    /**
+     * Time to wait for the same sidecar before a call without a first byte is sent to another. A sidecar reconnects
+     * within about 100 ms; waiting for it saves a second prefill.
+     */
+    private static final Duration SHORT_RESUME_WAIT = Duration.ofMillis(500);
+
     private static final byte[] NO_DIGEST = new byte[0];
 
     private final SidecarLinks sidecars;
@@ -35,7 +40,10 @@
     private final TargetSelector selector;
     private final RandomGenerator random;
     private final ScheduledExecutorService timers;
-    private final Map<AttemptId, Call> calls = new ConcurrentHashMap<>();
+    private final CallCounters counters;
+    private final RetryTokens retries = new RetryTokens();
+    private final Cancels cancels;
+    private final Map<RequestId, Call> calls = new ConcurrentHashMap<>();
 
     /** Makes a dispatcher. */
     public Dispatcher(
@@ -43,70 +51,146 @@
             Blackboard blackboard,
             TargetSelector selector,
             RandomGenerator random,
-            ScheduledExecutorService timers) {
+            ScheduledExecutorService timers,
+            CallCounters counters) {
         this.sidecars = sidecars;
         this.blackboard = blackboard;
         this.selector = selector;
         this.random = random;
         this.timers = timers;
+        this.counters = counters;
+        this.cancels = new Cancels(sidecars, counters);
+    }
+
+    /** Starts to repeat cancels until they are acknowledged. */
+    public void start() {
+        long interval = Cancels.REPEAT_INTERVAL.toMillis();
+        timers.scheduleWithFixedDelay(cancels::repeat, interval, interval, TimeUnit.MILLISECONDS);
     }
 
     /** Sends a request to a target, or refuses it at once. */
     void dispatch(CallPlan plan, ResponseSink response) {
-        RoutingRequest routing = plan.routing();
-        List<TargetView> serving = blackboard.fleet().read().serving(routing.kind(), routing.name());
-        Optional<TargetView> chosen = selector.select(routing, serving);
-        Optional<Link> link = chosen.flatMap(target -> sidecars.link(target.id(), plan.body().length));
-        if (link.isEmpty()) {
-            ErrorResponses.send(response, noTarget(routing));
+        Call call = new Call(RequestId.random(random), plan, response, this);
+        retries.requested();
+        calls.put(call.id(), call);
+        call.timer(timers.schedule(
+                () -> call.cancel(CallFailures.deadlineExceeded(plan)), plan.deadlineMillis(), TimeUnit.MILLISECONDS));
+        response.onDisconnect(() -> call.cancel(CallFailures.callerGone()));
+        attempt(call, CallFailures.noTarget(plan.routing()));
+    }
+
+    @Override
+    public void received(TargetId target, Link link, Message message) {
+        if (message instanceof Message.CancelAck ack) {
+            cancels.acknowledged(ack.attempt());
             return;
         }
-        send(plan, response, chosen.get().id(), link.get());
+        AttemptId attempt = attemptOf(message);
+        Call call = attempt == null ? null : calls.get(attempt.request());
+        if (call == null || !call.received(link, attempt, message)) {
+            counters.droppedFrame();
+        }
     }
 
     @Override
-    public void received(TargetId target, Message message) {
-        if (message instanceof Message.ResponseHead head) {
-            Optional.ofNullable(calls.get(head.attempt())).ifPresent(call -> call.head(head));
-        } else if (message instanceof Message.BodyChunk chunk) {
-            Optional.ofNullable(calls.get(chunk.attempt())).ifPresent(call -> call.chunk(chunk));
-        } else if (message instanceof Message.AttemptFailed failed) {
-            Optional.ofNullable(calls.get(failed.attempt())).ifPresent(call -> call.fail(failure(failed)));
+    public void linkOpened(TargetId target) {
+        for (Call call : calls.values()) {
+            sidecars.link(target, call.plan().body().length).ifPresent(link -> call.linkOpened(target, link));
         }
+        cancels.repeat();
+    }
+
+    @Override
+    public void linkClosed(TargetId target, Link link) {
+        calls.values().forEach(call -> call.linkLost(link));
     }
 
     @Override
-    public void linkClosed(TargetId target) {
-        calls.values().stream()
-                .filter(call -> call.target().equals(target))
-                .forEach(call -> call.fail(Failure.of(ErrorKind.LINK_LOST)
-                        .message("the link to target " + target.instance() + " was lost")
-                        .outcome(Outcome.UNKNOWN)
-                        .build()));
-    }
-
-    private void send(CallPlan plan, ResponseSink response, TargetId target, Link link) {
-        AttemptId attempt = new AttemptId(RequestId.random(random), 1);
-        Call call = new Call(plan, response, attempt, target, link, () -> forget(attempt, target));
-        calls.put(attempt, call);
+    public void began(TargetId target) {
         sidecars.addOutstanding(target, 1);
-        call.timer(timers.schedule(
-                () -> call.cancel(deadlineExceeded(plan)), plan.deadlineMillis(), TimeUnit.MILLISECONDS));
-        response.onDisconnect(() -> call.cancel(callerGone()));
-        link.send(dispatchMessage(plan, attempt, target));
-        new BodySender(link, attempt, plan.body()).send();
     }
 
-    private void forget(AttemptId attempt, TargetId target) {
-        calls.remove(attempt);
+    @Override
+    public void left(TargetId target) {
         sidecars.addOutstanding(target, -1);
     }
 
-    private Message.Dispatch dispatchMessage(CallPlan plan, AttemptId attempt, TargetId target) {
+    @Override
+    public void retry(Call call, Failure failure) {
+        if (!retries.take()) {
+            call.refuse(failure);
+            return;
+        }
+        counters.retry();
+        attempt(call, failure);
+    }
+
+    @Override
+    public void detached(Call call, AttemptId attempt, int detachment, boolean longWait) {
+        Duration wait = longWait ? RESUME_WAIT : SHORT_RESUME_WAIT;
+        timers.schedule(() -> call.resumeExpired(attempt, detachment), wait.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void resumed() {
+        counters.resume();
+    }
+
+    @Override
+    public void cancel(AttemptId attempt, TargetId target, long bodyBytes) {
+        cancels.cancel(attempt, target, bodyBytes);
+    }
+
+    @Override
+    public void failed(Failure failure) {
+        counters.error(failure.kind());
+    }
+
+    @Override
+    public void finished(Call call) {
+        calls.remove(call.id());
+    }
+
+    /** Starts the next attempt on a target that was not tried; ends the call with the failure if there is none. */
+    private void attempt(Call call, Failure otherwise) {
+        CallPlan plan = call.plan();
+        RoutingRequest routing = plan.routing();
+        List<TargetView> serving = blackboard.fleet().read().serving(routing.kind(), routing.name());
+        List<TargetId> tried = call.tried();
+        List<TargetView> candidates = tried.isEmpty()
+                ? serving
+                : serving.stream()
+                        .filter(target -> !tried.contains(target.id()))
+                        .toList();
+        Optional<TargetView> chosen = selector.select(routing, candidates);
+        Optional<Link> link = chosen.flatMap(target -> sidecars.link(target.id(), plan.body().length));
+        if (link.isEmpty()) {
+            call.refuse(otherwise);
+            return;
+        }
+        TargetId target = chosen.get().id();
+        call.begin(
+                target,
+                link.get(),
+                attempt -> dispatchMessage(plan, attempt, target, Math.max(1, call.remainingMillis())));
+    }
+
+    private static AttemptId attemptOf(Message message) {
+        if (message instanceof Message.BodyChunk chunk) {
+            return chunk.attempt();
+        } else if (message instanceof Message.ResponseHead head) {
+            return head.attempt();
+        } else if (message instanceof Message.AttemptFailed failed) {
+            return failed.attempt();
+        }
+        return null;
+    }
+
+    private Message.Dispatch dispatchMessage(CallPlan plan, AttemptId attempt, TargetId target, long remainingMillis) {
         return new Message.Dispatch(
                 attempt,
                 target.incarnation(),
-                plan.deadlineMillis(),
+                remainingMillis,
                 plan.account().value(),
                 plan.priority(),
                 plan.routing().kind(),
@@ -128,31 +212,4 @@
             throw new IllegalStateException("SHA-256 is part of every Java runtime", e);
         }
     }
-
-    private static Failure failure(Message.AttemptFailed failed) {
-        Failure.Builder failure =
-                Failure.of(failed.kind()).message(failed.message()).outcome(failed.outcome());
-        if (failed.retryAfterMillis() > 0) {
-            failure.retryAfter(Duration.ofMillis(failed.retryAfterMillis()));
-        }
-        return failure.build();
-    }
-
-    private static Failure noTarget(RoutingRequest routing) {
-        return Failure.of(ErrorKind.NO_TARGET)
-                .message("no live target serves " + routing.name())
-                .retryAfter(RETRY_WITHOUT_TARGET)
-                .build();
-    }
-
-    private static Failure deadlineExceeded(CallPlan plan) {
-        return Failure.of(ErrorKind.DEADLINE_EXCEEDED)
-                .message("no whole answer within " + plan.deadlineMillis() + " ms")
-                .outcome(Outcome.UNKNOWN)
-                .build();
-    }
-
-    private static Failure callerGone() {
-        return Failure.of(ErrorKind.CANCELLED).outcome(Outcome.UNKNOWN).build();
-    }
 }
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -19,7 +19,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
@@ -34,6 +33,7 @@
     private final Map<Link, byte[]> challenged = new ConcurrentHashMap<>();
     private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
     private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
+    private final Map<TargetId, Integer> outstanding = new ConcurrentHashMap<>();
     private CallMessages callMessages;
 
     /** Makes the registry of links of one entry incarnation. */
@@ -58,16 +58,18 @@
 
     /** Returns the number of requests that this entry has outstanding on a target. */
     public int outstanding(TargetId target) {
-        Sidecar sidecar = sidecars.get(target);
-        return sidecar == null ? 0 : sidecar.outstanding.get();
+        return outstanding.getOrDefault(target, 0);
     }
 
-    /** Adds to the number of outstanding requests of a target. */
+    /**
+     * Adds to the number of outstanding requests of a target. The number outlives the links, because work continues on
+     * a target while its links are broken.
+     */
     public void addOutstanding(TargetId target, int change) {
-        Sidecar sidecar = sidecars.get(target);
-        if (sidecar != null) {
-            sidecar.outstanding.addAndGet(change);
-        }
+        outstanding.compute(target, (id, count) -> {
+            int sum = (count == null ? 0 : count) + change;
+            return sum == 0 ? null : sum;
+        });
     }
 
     @Override
@@ -91,7 +93,7 @@
         } else if (message instanceof Message.Ping ping) {
             link.send(new Message.Pong(ping.sequence()));
         } else {
-            callMessages.received(target, message);
+            callMessages.received(target, link, message);
         }
     }
 
@@ -104,11 +106,11 @@
         }
         Sidecar sidecar = sidecars.get(target);
         if (sidecar != null && sidecar.remove(link)) {
-            sidecars.remove(target);
+            sidecars.computeIfPresent(target, (id, current) -> current.hasNoLane() ? null : current);
             blackboard.fleet().update(fleet -> fleet.without(target));
             Logger.info("target {} is not linked any more", target);
         }
-        callMessages.linkClosed(target);
+        callMessages.linkClosed(target, link);
     }
 
     private void introduce(Link link, Message message) {
@@ -132,8 +134,11 @@
         challenged.remove(link);
         TargetId target = new TargetId(new InstanceId(hello.instance()), hello.incarnation());
         targets.put(link, target);
-        Sidecar sidecar = sidecars.computeIfAbsent(target, id -> new Sidecar());
-        sidecar.add(hello.lane(), link);
+        Sidecar sidecar = sidecars.compute(target, (id, current) -> {
+            Sidecar changed = current == null ? new Sidecar() : current;
+            changed.add(hello.lane(), link);
+            return changed;
+        });
         link.send(new Message.Welcome(
                 blackboard.configuration().read().revision().value(),
                 settings.linkSecret().proof("entry", hello.nonce())));
@@ -141,6 +146,7 @@
             blackboard.fleet().update(fleet -> fleet.with(view(target, hello)));
             Logger.info("target {} serves {}", target, hello.serves());
         }
+        callMessages.linkOpened(target);
     }
 
     private static TargetView view(TargetId target, Message.Hello hello) {
@@ -178,14 +184,16 @@
 
     /** The links of one sidecar and the work outstanding on it. */
     private static final class Sidecar {
-        private final AtomicInteger outstanding = new AtomicInteger();
         private volatile Map<Lane, Link> lanes = Map.of();
 
         synchronized void add(Lane lane, Link link) {
             Map<Lane, Link> copy = new EnumMap<>(Lane.class);
             copy.putAll(lanes);
-            copy.put(lane, link);
+            Link replaced = copy.put(lane, link);
             lanes = copy;
+            if (replaced != null) {
+                replaced.close();
+            }
         }
 
         /** Removes a link and tells whether the sidecar has lost a lane with it. */
@@ -197,6 +205,10 @@
             return removed;
         }
 
+        boolean hasNoLane() {
+            return lanes.isEmpty();
+        }
+
         boolean hasAllLanes() {
             return lanes.size() == Lane.values().length;
         }
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Port to model engines over HTTP. */
+package io.endiveshed.net.engine;
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -6,9 +6,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 
 /**
@@ -25,6 +28,7 @@
     private final InetSocketAddress address;
     private final HttpServerLimits limits;
     private final HttpHandler handler;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel channel;
 
     /** Makes a server that listens once started. */
@@ -44,6 +48,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel connection) {
+                        connections.add(connection);
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(new HttpDecoderConfig()
@@ -62,6 +67,11 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Closes the open connections, whatever runs on them. */
+    public void closeConnections() {
+        connections.close().syncUninterruptibly();
+    }
+
     /** Stops listening; open connections stay open. */
     public void stop() {
         channel.close().syncUninterruptibly();
--- a/net/src/main/java/io/endiveshed/net/link/Link.java
+++ b/net/src/main/java/io/endiveshed/net/link/Link.java
@@ -7,9 +7,12 @@
     /** Sends a message; it is dropped if the link is closed. */
     void send(Message message);
 
-    /** Sends a message and runs the action when it was written to the socket, or when that failed. */
+    /** Sends a message and runs the action when it was written to the socket; the action is dropped if that fails. */
     void send(Message message, Runnable whenWritten);
 
+    /** Tells whether the link is open; once false, the listener hears of the end or has heard of it. */
+    boolean isOpen();
+
     /** Closes the link. */
     void close();
 
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
@@ -14,13 +14,15 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.IOException;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 
 /** Turns frames into messages and a channel into a {@link Link}. */
 final class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private final LinkListener listener;
     private ChannelLink link;
-    private boolean flushPending;
 
     LinkHandler(LinkListener listener) {
         this.listener = listener;
@@ -37,11 +39,6 @@
         listener.received(link, MessageCodec.decode(ByteBufUtil.getBytes(frame)));
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-        ctx.flush();
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (link != null) {
@@ -70,9 +67,14 @@
                 || cause.getCause() instanceof MalformedMessageException;
     }
 
-    /** Link over one channel. Messages sent within one event-loop turn share one flush. */
-    private final class ChannelLink implements Link {
+    /**
+     * Link over one channel. Messages pass through one queue, so that a message sent by the event loop cannot overtake
+     * an earlier one of another thread, and messages that wait together share one flush.
+     */
+    private static final class ChannelLink implements Link {
         private final Channel channel;
+        private final Queue<Outgoing> outgoing = new ConcurrentLinkedQueue<>();
+        private final AtomicBoolean drainScheduled = new AtomicBoolean();
 
         ChannelLink(Channel channel) {
             this.channel = channel;
@@ -80,20 +82,23 @@
 
         @Override
         public void send(Message message) {
-            ByteBuf frame = Unpooled.wrappedBuffer(MessageCodec.encode(message));
-            onEventLoop(() -> {
-                channel.write(frame, channel.voidPromise());
-                scheduleFlush();
-            });
+            send(message, null);
         }
 
         @Override
         public void send(Message message, Runnable whenWritten) {
-            ByteBuf frame = Unpooled.wrappedBuffer(MessageCodec.encode(message));
-            onEventLoop(() -> {
-                channel.write(frame).addListener(future -> whenWritten.run());
-                scheduleFlush();
-            });
+            if (!channel.isActive()) {
+                return;
+            }
+            outgoing.add(new Outgoing(MessageCodec.encode(message), whenWritten));
+            if (drainScheduled.compareAndSet(false, true)) {
+                channel.eventLoop().execute(this::drain);
+            }
+        }
+
+        @Override
+        public boolean isOpen() {
+            return channel.isActive();
         }
 
         @Override
@@ -111,23 +116,28 @@
             return remoteAddress();
         }
 
-        private void onEventLoop(Runnable task) {
-            if (channel.eventLoop().inEventLoop()) {
-                task.run();
-            } else {
-                channel.eventLoop().execute(task);
+        private void drain() {
+            drainScheduled.set(false);
+            for (Outgoing next = outgoing.poll(); next != null; next = outgoing.poll()) {
+                write(next);
             }
+            channel.flush();
         }
 
-        private void scheduleFlush() {
-            if (flushPending) {
+        private void write(Outgoing next) {
+            ByteBuf frame = Unpooled.wrappedBuffer(next.frame());
+            if (next.whenWritten() == null) {
+                channel.write(frame, channel.voidPromise());
                 return;
             }
-            flushPending = true;
-            channel.eventLoop().execute(() -> {
-                flushPending = false;
-                channel.flush();
+            channel.write(frame).addListener(written -> {
+                if (written.isSuccess()) {
+                    next.whenWritten().run();
+                }
             });
         }
     }
+
+    /** A frame that waits for the event loop; the action may be null. */
+    private record Outgoing(byte[] frame, Runnable whenWritten) {}
 }
--- a/protocol/src/main/java/io/endiveshed/protocol/Message.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/Message.java
@@ -151,10 +151,11 @@
             implements Message {}
 
     /**
-     * Permission to send more of a response body.
+     * Permission to send more of a response body, which also acknowledges that the caller has this many bytes more.
      *
      * @param attempt request and attempt
-     * @param bytes further bytes that the receiver can take
+     * @param bytes further bytes that the receiver can take; 0 acknowledges the end of the response or the failure, after
+     *     which the sidecar forgets the attempt
      */
     record Credit(AttemptId attempt, int bytes) implements Message {}
 
@@ -195,8 +196,9 @@
      *
      * @param attempt request and attempt
      * @param offset response bytes that the entry already has
+     * @param written how many of them were written to the caller; replaces the credits that were lost with the link
      */
-    record Resume(AttemptId attempt, long offset) implements Message {}
+    record Resume(AttemptId attempt, long offset, long written) implements Message {}
 
     /**
      * Announcement that the sender takes no new work.
--- a/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
@@ -232,8 +232,8 @@
                 yield new RevokeResult(Fields.readAttempt(in), Fields.readEnum(in, Outcome.class));
             }
             case RESUME -> {
-                Fields.expectCount(elements, 5, "Resume");
-                yield new Resume(Fields.readAttempt(in), in.unpackLong());
+                Fields.expectCount(elements, 6, "Resume");
+                yield new Resume(Fields.readAttempt(in), in.unpackLong(), in.unpackLong());
             }
             case LEAVING -> {
                 Fields.expectCount(elements, 2, "Leaving");
@@ -379,9 +379,10 @@
     }
 
     private static void writeResume(MessagePacker packer, Resume m) throws IOException {
-        Fields.writeStart(packer, 5, RESUME);
+        Fields.writeStart(packer, 6, RESUME);
         Fields.writeAttempt(packer, m.attempt());
         packer.packLong(m.offset());
+        packer.packLong(m.written());
     }
 
     private static void writeLeaving(MessagePacker packer, Leaving m) throws IOException {
--- a/protocol/src/test/java/io/endiveshed/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/io/endiveshed/protocol/MessageCodecTest.java
@@ -64,7 +64,7 @@
                 new Message.CancelAck(ATTEMPT),
                 new Message.Revoke(ATTEMPT, "a", "s", "k"),
                 new Message.RevokeResult(ATTEMPT, Outcome.UNKNOWN),
-                new Message.Resume(ATTEMPT, 8),
+                new Message.Resume(ATTEMPT, 8, 7),
                 new Message.Leaving(9),
                 new Message.ConfigOffer(1),
                 new Message.ConfigPull(2),
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,9 +1,12 @@
 package io.endiveshed.sidecar;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.net.engine.HttpEnginePort;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.protocol.Lane;
+import io.endiveshed.sidecar.internal.EngineOrphans;
 import io.endiveshed.sidecar.internal.EntryLink;
 import io.endiveshed.sidecar.internal.TargetCalls;
 import io.netty.channel.EventLoopGroup;
@@ -11,6 +14,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +37,7 @@
     private final SidecarSettings settings;
     private final EventLoopGroup loops;
     private final HttpClient target;
+    private final TargetCalls calls;
     private final List<EntryLink> entries = new ArrayList<>();
 
     /** Makes a sidecar that connects once started. */
@@ -43,7 +48,7 @@
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
         LinkDialer dialer = new LinkDialer(loops);
-        TargetCalls calls = new TargetCalls(settings, incarnation, target);
+        this.calls = new TargetCalls(settings, incarnation, target);
         for (InetSocketAddress entry : settings.entries()) {
             for (Lane lane : Lane.values()) {
                 entries.add(new EntryLink(settings, incarnation, entry, lane, dialer, loops, random, calls));
@@ -53,10 +58,19 @@
 
     /** Opens links to the entry daemons. */
     public void start() {
+        every(TargetCalls.SWEEP_INTERVAL, calls::sweep);
+        if (settings.targetKind() == TargetKind.ENGINE) {
+            EngineOrphans orphans = new EngineOrphans(new HttpEnginePort(target), calls::attempts);
+            every(EngineOrphans.CHECK_INTERVAL, orphans::check);
+        }
         entries.forEach(EntryLink::start);
         Logger.info("sidecar of {} started: target {}", settings.instance(), settings.targetAddress());
     }
 
+    private void every(Duration interval, Runnable task) {
+        loops.scheduleWithFixedDelay(task, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /** Closes every connection. */
     public void stop() {
         entries.forEach(EntryLink::stop);
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -17,34 +17,45 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** One call from its dispatch to its last response byte. Methods are synchronized on the call. */
+/**
+ * One call from its dispatch until the entry has acknowledged its end. Methods are synchronized on the call.
+ *
+ * <p>Without a link the call goes on; what it would have sent is kept within the credit and sent again on
+ * {@code Resume}.
+ */
 final class TargetCall implements HttpResponseListener {
     /** Header fields that belong to one connection and must not be passed on. */
     private static final Set<String> CONNECTION_HEADERS =
             Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer");
 
-    private final Link link;
     private final Message.Dispatch dispatch;
     private final HttpClient target;
-    private final Consumer<TargetCall> whenFinished;
+    private final Consumer<TargetCall> whenReleased;
+    private final long acceptedNanos = System.nanoTime();
+    private final ResponseWindow window = new ResponseWindow();
+    private Link link;
+    private long detachedNanos;
     private byte[] body;
     private int bodyReceived;
+    private boolean bodyWhole;
     private HttpExchange exchange;
-    private long sent;
-    private long credit = ProtocolLimits.INITIAL_RESPONSE_CREDIT_BYTES;
+    private Message.ResponseHead head;
+    private Message.AttemptFailed failure;
     private boolean run;
-    private boolean finished;
+    private boolean complete;
+    private boolean released;
 
-    TargetCall(Link link, Message.Dispatch dispatch, HttpClient target, Consumer<TargetCall> whenFinished) {
+    /** Makes a call; the consumer hears once when the call neither waits nor runs any more. */
+    TargetCall(Link link, Message.Dispatch dispatch, HttpClient target, Consumer<TargetCall> whenReleased) {
         this.link = link;
         this.dispatch = dispatch;
         this.target = target;
-        this.whenFinished = whenFinished;
+        this.whenReleased = whenReleased;
         this.body = new byte[(int) dispatch.bodyBytes()];
     }
 
-    Link link() {
-        return link;
+    synchronized boolean isOn(Link other) {
+        return link == other;
     }
 
     AttemptId attempt() {
@@ -60,64 +71,101 @@
         return dispatch.promptTokens() + dispatch.maxTokens();
     }
 
-    synchronized boolean hasRun() {
-        return run;
+    /** Tells whether the call neither waits nor runs any more. */
+    synchronized boolean isReleased() {
+        return released;
     }
 
     /** Adds a part of the body and tells whether the body is whole now. */
-    synchronized boolean append(Message.BodyChunk chunk) {
-        if (finished) {
-            return false;
-        }
-        if (chunk.offset() != bodyReceived || bodyReceived + chunk.bytes().length > body.length) {
-            fail(
-                    ErrorKind.PROTOCOL_ERROR,
-                    "body bytes at " + chunk.offset() + " instead of " + bodyReceived,
-                    Outcome.NOT_RUN);
-            return false;
+    boolean append(Message.BodyChunk chunk) {
+        synchronized (this) {
+            if (released || bodyWhole) {
+                return false;
+            }
+            int end = bodyReceived + chunk.bytes().length;
+            boolean fits = chunk.offset() == bodyReceived && end <= body.length;
+            if (fits && (!chunk.last() || end == body.length)) {
+                System.arraycopy(chunk.bytes(), 0, body, bodyReceived, chunk.bytes().length);
+                bodyReceived = end;
+                bodyWhole = chunk.last();
+                return bodyWhole;
+            }
         }
-        System.arraycopy(chunk.bytes(), 0, body, bodyReceived, chunk.bytes().length);
-        bodyReceived += chunk.bytes().length;
-        return chunk.last();
+        fail(
+                ErrorKind.PROTOCOL_ERROR,
+                "body bytes at " + chunk.offset() + " after " + bodyReceived + " of " + dispatch.bodyBytes(),
+                Outcome.NOT_RUN);
+        return false;
     }
 
     /** Sends the call to the target. */
     synchronized void run() {
-        run = true;
-        if (finished) {
+        if (released) {
             return;
         }
+        run = true;
         List<Header> headers = new ArrayList<>(dispatch.headers());
         headers.add(new Header("x-request-id", dispatch.attempt().toString()));
         headers.add(new Header("x-priority", Integer.toString(dispatch.priority())));
         exchange = target.send(dispatch.method(), dispatch.path(), headers, body, this);
     }
 
+    /** Notes that the caller has taken bytes of the response. */
     synchronized void credit(int bytes) {
-        credit += bytes;
-        if (exchange != null && credit > 0) {
-            exchange.pause(false);
+        window.acknowledge(bytes);
+        continueIfCredit();
+    }
+
+    /** Notes that the link has closed. */
+    synchronized void detach(Link closed) {
+        if (link == closed) {
+            link = null;
+            detachedNanos = System.nanoTime();
         }
     }
 
-    void cancel() {
-        HttpExchange current;
+    /** Continues on a new link. A body that was cut off is not continued, so the attempt has provably not run. */
+    void resume(Link newLink, long offset, long written) {
         synchronized (this) {
-            if (finished) {
+            link = newLink;
+            if (failure != null || (bodyWhole && window.covers(offset))) {
+                window.acknowledgeUpTo(written);
+                sendAgain(offset);
+                continueIfCredit();
                 return;
             }
-            finished = true;
-            current = exchange;
         }
-        if (current != null) {
-            current.cancel();
+        if (bodyWhole) {
+            fail(ErrorKind.PROTOCOL_ERROR, "response bytes at " + offset + " are not kept any more", Outcome.UNKNOWN);
+        } else {
+            fail(ErrorKind.LINK_LOST, "the link broke before the body was whole", Outcome.NOT_RUN);
+        }
+    }
+
+    /** Stops the call without an answer. */
+    void cancel() {
+        release();
+    }
+
+    /** Tells whether the call has been without a link for longer than the time. */
+    synchronized boolean isDetachedLonger(long nanos) {
+        return link == null && System.nanoTime() - detachedNanos > nanos;
+    }
+
+    /** Ends the call if its time is over. */
+    void checkDeadline() {
+        boolean over = System.nanoTime() - acceptedNanos > dispatch.remainingMillis() * 1_000_000;
+        if (over && !isReleased()) {
+            fail(
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    "no whole answer within " + dispatch.remainingMillis() + " ms",
+                    outcome());
         }
-        whenFinished.accept(this);
     }
 
     @Override
     public synchronized void started(int status, List<Header> headers) {
-        if (finished) {
+        if (released) {
             return;
         }
         body = new byte[0];
@@ -125,19 +173,21 @@
                 .filter(header -> !CONNECTION_HEADERS.contains(header.name().toLowerCase(Locale.ROOT)))
                 .limit(ProtocolLimits.MAX_HEADERS)
                 .toList();
-        link.send(new Message.ResponseHead(attempt(), status, forwarded));
+        head = new Message.ResponseHead(attempt(), status, forwarded);
+        send(head);
     }
 
     @Override
     public synchronized void received(byte[] bytes) {
-        if (finished) {
+        if (released) {
             return;
         }
         for (int from = 0; from < bytes.length; from += ProtocolLimits.MAX_CHUNK_BYTES) {
             int to = Math.min(bytes.length, from + ProtocolLimits.MAX_CHUNK_BYTES);
-            send(Arrays.copyOfRange(bytes, from, to), false);
+            byte[] part = from == 0 && to == bytes.length ? bytes : Arrays.copyOfRange(bytes, from, to);
+            send(new Message.BodyChunk(attempt(), window.add(part), part, false));
         }
-        if (credit <= 0) {
+        if (window.credit() <= 0) {
             exchange.pause(true);
         }
     }
@@ -145,34 +195,76 @@
     @Override
     public void ended() {
         synchronized (this) {
-            if (finished) {
+            if (released) {
                 return;
             }
-            send(new byte[0], true);
-            finished = true;
+            complete = true;
+            sendEnd();
         }
-        whenFinished.accept(this);
+        release();
     }
 
     @Override
     public void failed(boolean requestSent, String message) {
-        synchronized (this) {
-            if (finished) {
-                return;
-            }
-            fail(ErrorKind.TARGET_FAILED, message, requestSent ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+        fail(ErrorKind.TARGET_FAILED, message, requestSent ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+    }
+
+    private void sendAgain(long offset) {
+        if (head != null && offset == 0) {
+            send(head);
+        }
+        window.replay(offset, (at, bytes) -> send(new Message.BodyChunk(attempt(), at, bytes, false)));
+        if (complete) {
+            sendEnd();
+        } else if (failure != null) {
+            send(failure);
         }
-        whenFinished.accept(this);
     }
 
-    private void send(byte[] bytes, boolean last) {
-        link.send(new Message.BodyChunk(attempt(), sent, bytes, last));
-        sent += bytes.length;
-        credit -= bytes.length;
+    private void sendEnd() {
+        send(new Message.BodyChunk(attempt(), window.end(), new byte[0], true));
+    }
+
+    private void continueIfCredit() {
+        if (exchange != null && !released && window.credit() > 0) {
+            exchange.pause(false);
+        }
+    }
+
+    private void send(Message message) {
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    private synchronized Outcome outcome() {
+        return run ? Outcome.UNKNOWN : Outcome.NOT_RUN;
     }
 
     private void fail(ErrorKind kind, String message, Outcome outcome) {
-        finished = true;
-        link.send(new Message.AttemptFailed(attempt(), kind, message, outcome, 0));
+        synchronized (this) {
+            if (released) {
+                return;
+            }
+            failure = new Message.AttemptFailed(attempt(), kind, message, outcome, 0);
+            send(failure);
+        }
+        release();
+    }
+
+    private void release() {
+        HttpExchange current;
+        synchronized (this) {
+            if (released) {
+                return;
+            }
+            released = true;
+            body = new byte[0];
+            current = complete ? null : exchange;
+        }
+        if (current != null) {
+            current.cancel();
+        }
+        whenReleased.accept(this);
     }
 }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
@@ -8,14 +8,22 @@
 import io.endiveshed.net.link.Link;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.sidecar.SidecarSettings;
-import java.util.ArrayDeque;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** The calls of one target: receives their bodies, queues them and runs a bounded number at a time. */
 public final class TargetCalls {
+    /** Interval at which {@link #sweep()} should run. */
+    public static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
+
+    /** Time for which a call without a link waits for its entry to resume it. */
+    public static final Duration RESUME_WAIT = Duration.ofSeconds(5);
+
     /** Most bytes of request bodies held at a time; more are refused. */
     static final long MAX_BODY_BYTES = 256L * 1024 * 1024;
 
@@ -23,9 +31,10 @@
     private final Incarnation incarnation;
     private final HttpClient target;
     private final Map<AttemptId, TargetCall> calls = new ConcurrentHashMap<>();
-    private final Queue<TargetCall> waiting = new ArrayDeque<>();
+    private final Set<TargetCall> waiting = new LinkedHashSet<>();
+    private final Set<TargetCall> running = new LinkedHashSet<>();
     private final AtomicLong bodyBytes = new AtomicLong();
-    private int running;
+    private final AtomicLong droppedFrames = new AtomicLong();
 
     /** Makes the table of calls of one target. */
     public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target) {
@@ -39,20 +48,43 @@
         if (message instanceof Message.Dispatch dispatch) {
             accept(link, dispatch);
         } else if (message instanceof Message.BodyChunk chunk) {
-            body(chunk);
+            body(link, chunk);
         } else if (message instanceof Message.Credit credit) {
-            TargetCall call = calls.get(credit.attempt());
-            if (call != null) {
-                call.credit(credit.bytes());
-            }
+            credit(link, credit);
+        } else if (message instanceof Message.Resume resume) {
+            resume(link, resume);
         } else if (message instanceof Message.Cancel cancel) {
             cancel(link, cancel.attempt());
+        } else {
+            droppedFrames.incrementAndGet();
         }
     }
 
-    /** Cancels the calls whose answers were to go over a link that has closed. */
+    /** Notes that a link has closed; the calls on it go on and wait for {@code Resume}. */
     public void linkClosed(Link link) {
-        calls.values().stream().filter(call -> call.link() == link).forEach(TargetCall::cancel);
+        calls.values().forEach(call -> call.detach(link));
+    }
+
+    /** Ends calls whose time is over and calls that no entry has resumed in time. */
+    public void sweep() {
+        calls.values().forEach(TargetCall::checkDeadline);
+        calls.values().removeIf(call -> {
+            boolean abandoned = call.isDetachedLonger(RESUME_WAIT.toNanos());
+            if (abandoned) {
+                call.cancel();
+            }
+            return abandoned;
+        });
+    }
+
+    /** Returns the attempts that are known, whether they wait, run or have ended without acknowledgement. */
+    public Collection<AttemptId> attempts() {
+        return Set.copyOf(calls.keySet());
+    }
+
+    /** Returns the number of frames that were dropped because they named an unknown or finished attempt. */
+    public long droppedFrames() {
+        return droppedFrames.get();
     }
 
     /** Returns the load report for a link. */
@@ -61,32 +93,44 @@
         int active;
         synchronized (waiting) {
             queued = waiting.size();
-            active = running;
+            active = running.size();
+        }
+        long total = 0;
+        long ours = 0;
+        for (TargetCall call : calls.values()) {
+            if (!call.isReleased()) {
+                total += call.kvTokens();
+                ours += call.isOn(link) ? call.kvTokens() : 0;
+            }
         }
-        long total = calls.values().stream().mapToLong(TargetCall::kvTokens).sum();
-        long ours = calls.values().stream()
-                .filter(call -> call.link() == link)
-                .mapToLong(TargetCall::kvTokens)
-                .sum();
         return new Message.LoadReport(
                 sequence, active, queued, 0, ours, Math.max(0, settings.kvCapacityTokens() - total), false, 0);
     }
 
     private void accept(Link link, Message.Dispatch dispatch) {
         if (!dispatch.incarnation().equals(incarnation)) {
+            droppedFrames.incrementAndGet();
             refuse(link, dispatch, ErrorKind.STALE_INCARNATION, "this sidecar is incarnation " + incarnation);
             return;
         }
+        if (dispatch.bodyBytes() < 0 || dispatch.bodyBytes() > MAX_BODY_BYTES) {
+            refuse(link, dispatch, ErrorKind.PROTOCOL_ERROR, "body of " + dispatch.bodyBytes() + " bytes");
+            return;
+        }
         if (bodyBytes.addAndGet(dispatch.bodyBytes()) > MAX_BODY_BYTES) {
             bodyBytes.addAndGet(-dispatch.bodyBytes());
             refuse(link, dispatch, ErrorKind.OVERLOADED, "request bodies fill " + MAX_BODY_BYTES + " bytes");
             return;
         }
-        calls.put(dispatch.attempt(), new TargetCall(link, dispatch, target, this::finished));
+        TargetCall call = new TargetCall(link, dispatch, target, this::released);
+        if (calls.putIfAbsent(dispatch.attempt(), call) != null) {
+            bodyBytes.addAndGet(-dispatch.bodyBytes());
+            droppedFrames.incrementAndGet();
+        }
     }
 
-    private void body(Message.BodyChunk chunk) {
-        TargetCall call = calls.get(chunk.attempt());
+    private void body(Link link, Message.BodyChunk chunk) {
+        TargetCall call = known(link, chunk.attempt());
         if (call == null || !call.append(chunk)) {
             return;
         }
@@ -96,40 +140,82 @@
         startNext();
     }
 
+    private void credit(Link link, Message.Credit credit) {
+        TargetCall call = known(link, credit.attempt());
+        if (call == null) {
+            return;
+        }
+        if (credit.bytes() > 0) {
+            call.credit(credit.bytes());
+        } else if (call.isReleased()) {
+            calls.remove(credit.attempt());
+        }
+    }
+
+    /** An unknown attempt may have run and been forgotten, so the outcome is unknown. */
+    private void resume(Link link, Message.Resume resume) {
+        TargetCall call = calls.get(resume.attempt());
+        if (call != null) {
+            call.resume(link, resume.offset(), resume.written());
+            return;
+        }
+        droppedFrames.incrementAndGet();
+        link.send(new Message.AttemptFailed(
+                resume.attempt(), ErrorKind.LINK_LOST, "the attempt is not known any more", Outcome.UNKNOWN, 0));
+    }
+
     private void cancel(Link link, AttemptId attempt) {
-        TargetCall call = calls.get(attempt);
+        TargetCall call = calls.remove(attempt);
         if (call != null) {
             call.cancel();
         }
         link.send(new Message.CancelAck(attempt));
     }
 
+    /** Returns the call if it is known and belongs to the link; counts the frame as dropped otherwise. */
+    private TargetCall known(Link link, AttemptId attempt) {
+        TargetCall call = calls.get(attempt);
+        if (call == null || !call.isOn(link)) {
+            droppedFrames.incrementAndGet();
+            return null;
+        }
+        return call;
+    }
+
     private void startNext() {
-        TargetCall next;
-        synchronized (waiting) {
-            if (running >= settings.maxRunning()) {
-                return;
-            }
-            next = waiting.poll();
-            if (next == null) {
-                return;
+        for (TargetCall next = takeNext(); next != null; next = takeNext()) {
+            next.run();
+            if (next.isReleased()) {
+                removeFromQueues(next);
             }
-            running++;
         }
-        next.run();
     }
 
-    private void finished(TargetCall call) {
-        calls.remove(call.attempt());
-        bodyBytes.addAndGet(-call.bodyBytes());
+    private TargetCall takeNext() {
         synchronized (waiting) {
-            if (!waiting.remove(call) && call.hasRun()) {
-                running--;
+            if (running.size() >= settings.maxRunning() || waiting.isEmpty()) {
+                return null;
             }
+            TargetCall next = waiting.iterator().next();
+            waiting.remove(next);
+            running.add(next);
+            return next;
         }
+    }
+
+    private void released(TargetCall call) {
+        bodyBytes.addAndGet(-call.bodyBytes());
+        removeFromQueues(call);
         startNext();
     }
 
+    private void removeFromQueues(TargetCall call) {
+        synchronized (waiting) {
+            waiting.remove(call);
+            running.remove(call);
+        }
+    }
+
     private static void refuse(Link link, Message.Dispatch dispatch, ErrorKind kind, String message) {
         link.send(new Message.AttemptFailed(dispatch.attempt(), kind, message, Outcome.NOT_RUN, 0));
     }
--- a/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -1,5 +1,6 @@
 package io.endiveshed.standins;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.endiveshed.net.http.HttpRequestData;
@@ -15,15 +16,23 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Model engine whose answer is derived from the prompt, so that an answer to another request shows.
  *
+ * <p>{@code GET /v1/requests} lists running requests, {@code DELETE /v1/requests/{id}} stops one, and {@code GET /load}
+ * reports the load.
+ *
  * <p>The answer is the first 16 hexadecimal digits of the SHA-256 hash of the prompt text, followed by numbered words.
  */
 public final class EngineStandIn {
+    private static final String REQUESTS = "/v1/requests";
+    private static final long KV_CAPACITY_TOKENS = 4_000_000;
+    private static final int CHARACTERS_PER_TOKEN = 4;
     private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
     private static final Header JSON = new Header("content-type", "application/json");
     private static final Header EVENTS = new Header("content-type", "text/event-stream");
@@ -31,7 +40,9 @@
     private final HttpServer server;
     private final Duration timePerToken;
     private final EventLoopGroup loops;
-    private final AtomicInteger running = new AtomicInteger();
+    private final Map<String, Generation> running = new ConcurrentHashMap<>();
+    private final AtomicLong unnamed = new AtomicLong();
+    private volatile boolean ignoringDisconnects;
 
     /** Makes an engine that takes the given time for each generated token. */
     public EngineStandIn(EventLoopGroup loops, InetSocketAddress address, Duration timePerToken) {
@@ -54,7 +65,24 @@
 
     /** Returns the number of requests that hold memory now. */
     public int running() {
-        return running.get();
+        return running.size();
+    }
+
+    /** Makes the engine go on with a request whose connection has closed, as some engines do. */
+    public void ignoreDisconnects() {
+        ignoringDisconnects = true;
+    }
+
+    /** Breaks every running answer off, as a crash does. */
+    public void breakAnswers() {
+        running.values().forEach(Generation::stop);
+    }
+
+    /** Stops as a crash does: answers break off, connections close and new ones are refused. */
+    public void crash() {
+        server.stop();
+        server.closeConnections();
+        running.clear();
     }
 
     /** Stops listening. */
@@ -72,14 +100,61 @@
     }
 
     private void handle(HttpRequestData request, ResponseSink response) {
+        String path = request.path();
+        if (path.equals("/load")) {
+            json(response, load());
+        } else if (path.equals(REQUESTS)) {
+            json(response, requests());
+        } else if (path.startsWith(REQUESTS + "/")) {
+            Generation stopped = running.get(path.substring(REQUESTS.length() + 1));
+            if (stopped != null) {
+                stopped.stop();
+            }
+            json(response, new JsonObject());
+        } else {
+            generate(request, response);
+        }
+    }
+
+    private JsonObject load() {
+        JsonObject load = new JsonObject();
+        load.addProperty("running", running.size());
+        load.addProperty("waiting", 0);
+        load.addProperty(
+                "used_kv_tokens",
+                running.values().stream().mapToLong(Generation::kvTokens).sum());
+        load.addProperty("capacity_kv_tokens", KV_CAPACITY_TOKENS);
+        return load;
+    }
+
+    private JsonObject requests() {
+        JsonArray ids = new JsonArray();
+        running.keySet().forEach(ids::add);
+        JsonObject list = new JsonObject();
+        list.add("requests", ids);
+        return list;
+    }
+
+    private static void json(ResponseSink response, JsonObject body) {
+        response.respond(200, List.of(JSON), body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void generate(HttpRequestData request, ResponseSink response) {
         JsonObject body = JsonParser.parseString(new String(request.body(), StandardCharsets.UTF_8))
                 .getAsJsonObject();
         String prompt = prompt(body);
         int tokens = body.has("max_tokens") ? body.get("max_tokens").getAsInt() : 16;
         boolean stream = body.has("stream") && body.get("stream").getAsBoolean();
-        running.incrementAndGet();
-        Generation generation = new Generation(response, answer(prompt, tokens).split(" "), stream);
-        response.onDisconnect(generation::cancel);
+        String named = request.headers().get("x-request-id");
+        String id = named == null ? "unnamed-" + unnamed.incrementAndGet() : named;
+        Generation generation =
+                new Generation(id, response, prompt, answer(prompt, tokens).split(" "), stream);
+        running.put(id, generation);
+        response.onDisconnect(() -> {
+            if (!ignoringDisconnects) {
+                generation.cancel();
+            }
+        });
         generation.start();
     }
 
@@ -98,14 +173,18 @@
 
     /** One running request; steps run on one event loop at a time. */
     private final class Generation {
+        private final String id;
         private final ResponseSink response;
+        private final long promptTokens;
         private final String[] words;
         private final boolean stream;
         private int next;
         private boolean done;
 
-        Generation(ResponseSink response, String[] words, boolean stream) {
+        Generation(String id, ResponseSink response, String prompt, String[] words, boolean stream) {
+            this.id = id;
             this.response = response;
+            this.promptTokens = prompt.length() / CHARACTERS_PER_TOKEN;
             this.words = words;
             this.stream = stream;
         }
@@ -120,10 +199,20 @@
         synchronized void cancel() {
             if (!done) {
                 done = true;
-                running.decrementAndGet();
+                running.remove(id, this);
             }
         }
 
+        /** Frees the memory and breaks the answer off. */
+        void stop() {
+            cancel();
+            response.abort();
+        }
+
+        long kvTokens() {
+            return promptTokens + words.length;
+        }
+
         private synchronized void step() {
             if (done) {
                 return;
@@ -145,7 +234,7 @@
 
         private void finish() {
             done = true;
-            running.decrementAndGet();
+            running.remove(id, this);
             if (stream) {
                 response.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
                 response.end();
