--- a/coordination/src/main/java/io/endiveshed/coordination/membership/FleetView.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/membership/FleetView.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,6 +24,13 @@
         this.byName = index(targets);
     }
 
+    /** Makes a view of the given targets. */
+    public static FleetView of(Collection<TargetView> targets) {
+        Map<TargetId, TargetView> byId = new LinkedHashMap<>();
+        targets.forEach(target -> byId.put(target.id(), target));
+        return new FleetView(byId);
+    }
+
     /** Returns all targets. */
     public List<TargetView> targets() {
         return List.copyOf(targets.values());
