Select entries, follow target states and drain in the daemons

Cause: a stop closed every connection at once; a sidecar whose one lane reconnected was never usable again; links without requests timed out after 10 s because entries sent nothing on them. Before: requests that ran during a stop were lost. After: both daemons announce that they leave, refuse new work, finish what runs within a grace period and close; links carry pings on both lanes; the short lane alone carries load reports. Conclusion: reports cost half the frames, and one fleet view is built per tick instead of one per report.

--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -2,19 +2,31 @@
 
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
+import io.endiveshed.entry.internal.DrainGate;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
 import io.endiveshed.net.link.LinkServer;
+import io.endiveshed.ports.platform.InstanceList;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Either;
 import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.agrona.concurrent.SystemNanoClock;
 import org.tinylog.Logger;
 
 /**
@@ -34,25 +46,61 @@
     /** Long bodies that may wait to be parsed; more are refused. */
     private static final int PARSER_QUEUE = 64;
 
+    /**
+     * Time in which connections are still accepted and requests refused before the listener closes, so that load
+     * balancers and callers with open connections learn from an answer that this entry stops.
+     */
+    private static final Duration LAME_DUCK = Duration.ofMillis(500);
+
+    /** Interval between reads of the platform's list; 390 entries make 195 reads/s of the platform's 2,000. */
+    private static final long LIST_INTERVAL_SECONDS = 2;
+
+    private static final long HOURS_INTERVAL_MILLIS = 1_000;
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    /** Time to write the last answers after the grace period. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
+
     private final EntrySettings settings;
+    private final InstanceList list;
+    private final InstantSource clock;
+    private final TargetTable table;
+    private final SidecarLinks sidecars;
+    private final DrainGate gate;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private final EventLoopGroup loops;
     private final ThreadPoolExecutor parsers;
     private final HttpServer callers;
     private final LinkServer links;
 
-    /** Makes a daemon that reads the configuration from the blackboard and writes the fleet to it. */
+    /** Makes a daemon without the platform's list of instances. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
+        this(
+                settings,
+                blackboard,
+                () -> CompletableFuture.completedFuture(Either.right(List.of())),
+                InstantSource.system());
+    }
+
+    /**
+     * Makes a daemon that reads the configuration from the blackboard and writes the fleet to it; the clock decides
+     * about opening hours.
+     */
+    public EntryDaemon(EntrySettings settings, Blackboard blackboard, InstanceList list, InstantSource clock) {
         this.settings = settings;
+        this.list = list;
+        this.clock = clock;
         SecureRandom random = new SecureRandom();
         this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
         this.parsers = new ThreadPoolExecutor(
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
-        SidecarLinks sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard);
+        this.table = new TargetTable(blackboard.fleet(), SystemNanoClock.INSTANCE, settings.place());
+        this.sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table);
         Dispatcher dispatcher = new Dispatcher(
                 sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops);
         sidecars.callMessages(dispatcher);
-        CallerApi api = new CallerApi(blackboard, dispatcher, parsers);
-        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), api);
+        this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers));
+        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate);
         this.links = new LinkServer(loops, settings.linkAddress(), sidecars);
     }
 
@@ -60,6 +108,9 @@
     public void start() {
         links.start();
         callers.start();
+        every(TargetTable.TICK_INTERVAL.toMillis(), table::tick);
+        every(TimeUnit.SECONDS.toMillis(LIST_INTERVAL_SECONDS), this::readList);
+        every(HOURS_INTERVAL_MILLIS, this::followHours);
         Logger.info(
                 "entry {} started: callers on port {}, links on port {}",
                 settings.instance(),
@@ -77,12 +128,60 @@
         return links.port();
     }
 
-    /** Stops accepting and closes every connection. */
+    /**
+     * Announces that the entry leaves, refuses new requests, lets running ones finish within the grace period of the
+     * settings, fails the rest and closes every connection. Further calls have no effect.
+     */
     public void stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        long start = System.nanoTime();
+        gate.drain();
+        callers.drain();
+        sidecars.announceLeaving(settings.stopGrace());
+        if (callers.openConnections() > 0) {
+            await(() -> false, start, LAME_DUCK);
+        }
         callers.stop();
+        callers.closeIdle();
+        await(this::isDrained, start, settings.stopGrace());
+        gate.failRemaining();
+        await(this::isDrained, System.nanoTime(), CLOSE_TIMEOUT);
         links.stop();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         parsers.shutdown();
         Logger.info("entry {} stopped", settings.instance());
     }
+
+    /** Tells whether the daemon has stopped, on request or at closing time. */
+    public boolean isStopped() {
+        return loops.isTerminated();
+    }
+
+    private boolean isDrained() {
+        return gate.isIdle() && callers.openConnections() == 0;
+    }
+
+    private void readList() {
+        list.instances().thenAccept(result -> result.peek(table::listed));
+    }
+
+    private void followHours() {
+        if (!settings.openingHours().isOpen(clock.instant()) && !stopping.get()) {
+            Logger.info("closing time of {}", settings.instance());
+            // stop() waits for the event loops and must not run on one of them.
+            new Thread(this::stop, "closing-time").start();
+        }
+    }
+
+    private void every(long millis, Runnable task) {
+        loops.scheduleAtFixedRate(task, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void await(BooleanSupplier condition, long startNanos, Duration timeout) {
+        while (!condition.getAsBoolean() && System.nanoTime() - startNanos < timeout.toNanos()) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
 }
--- a/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -3,13 +3,19 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.coordination.membership.Place;
 import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.net.link.LinkSecret;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Objects;
 
 /** Settings of an entry daemon. */
 public final class EntrySettings {
+    /** Default for {@link #stopGrace()}. */
+    public static final Duration DEFAULT_STOP_GRACE = Duration.ofSeconds(30);
+
     private final InstanceId instance;
     private final Region region;
     private final FailureDomain failureDomain;
@@ -17,6 +23,8 @@
     private final InetSocketAddress linkAddress;
     private final LinkSecret linkSecret;
     private final HttpServerLimits limits;
+    private final Duration stopGrace;
+    private final OpeningHours openingHours;
 
     private EntrySettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -26,6 +34,8 @@
         this.linkAddress = Objects.requireNonNull(builder.linkAddress, "linkAddress");
         this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
         this.limits = builder.limits;
+        this.stopGrace = builder.stopGrace;
+        this.openingHours = builder.openingHours;
     }
 
     /** Starts settings. */
@@ -68,6 +78,21 @@
         return limits;
     }
 
+    /** Returns the failure domain and region of the instance. */
+    public Place place() {
+        return new Place(region, failureDomain);
+    }
+
+    /** Returns the time that running work has to finish when the process stops. */
+    public Duration stopGrace() {
+        return stopGrace;
+    }
+
+    /** Returns when the process serves; outside these hours it drains and stops. */
+    public OpeningHours openingHours() {
+        return openingHours;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -77,6 +102,8 @@
         private InetSocketAddress linkAddress;
         private LinkSecret linkSecret;
         private HttpServerLimits limits = HttpServerLimits.defaults();
+        private Duration stopGrace = DEFAULT_STOP_GRACE;
+        private OpeningHours openingHours = OpeningHours.ALWAYS;
 
         private Builder() {}
 
@@ -122,6 +149,18 @@
             return this;
         }
 
+        /** Sets the time that running work has to finish when the process stops. */
+        public Builder stopGrace(Duration value) {
+            this.stopGrace = value;
+            return this;
+        }
+
+        /** Sets when the process serves. */
+        public Builder openingHours(OpeningHours value) {
+            this.openingHours = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public EntrySettings build() {
             return new EntrySettings(this);
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -8,6 +8,7 @@
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.membership.TargetLoad;
 import io.endiveshed.coordination.membership.TargetState;
+import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.net.link.Link;
@@ -15,6 +16,7 @@
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
@@ -26,23 +28,31 @@
 /** The links from sidecars: authenticates them, keeps the fleet view up to date and hands on messages about calls. */
 public final class SidecarLinks implements LinkListener {
     private static final int NONCE_BYTES = 16;
+    private static final long NOT_LEAVING = -1;
 
     private final EntrySettings settings;
     private final Incarnation incarnation;
     private final RandomGenerator random;
     private final Blackboard blackboard;
+    private final TargetTable table;
     private final Map<Link, byte[]> challenged = new ConcurrentHashMap<>();
     private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
     private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
     private CallMessages callMessages;
+    private volatile long leavingGraceMillis = NOT_LEAVING;
 
     /** Makes the registry of links of one entry incarnation. */
     public SidecarLinks(
-            EntrySettings settings, Incarnation incarnation, RandomGenerator random, Blackboard blackboard) {
+            EntrySettings settings,
+            Incarnation incarnation,
+            RandomGenerator random,
+            Blackboard blackboard,
+            TargetTable table) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.random = random;
         this.blackboard = blackboard;
+        this.table = table;
     }
 
     /** Sets the receiver of messages about calls; must be called before the first link opens. */
@@ -50,6 +60,12 @@
         this.callMessages = receiver;
     }
 
+    /** Tells all sidecars, and those that link later, that this entry sends no new work. */
+    public void announceLeaving(Duration grace) {
+        leavingGraceMillis = grace.toMillis();
+        targets.keySet().forEach(link -> link.send(new Message.Leaving(leavingGraceMillis)));
+    }
+
     /** Returns the link for a body of the given length, if the sidecar is linked. */
     public Optional<Link> link(TargetId target, long bodyBytes) {
         Sidecar sidecar = sidecars.get(target);
@@ -85,10 +101,17 @@
         if (target == null) {
             introduce(link, message);
         } else if (message instanceof Message.LoadReport report) {
-            updateLoad(target, report);
+            table.report(target, load(report), report.leaving());
         } else if (message instanceof Message.Leaving) {
-            blackboard.fleet().update(fleet -> fleet.change(target, view -> view.withState(TargetState.LEAVING)));
-        } else if (message instanceof Message.Ping ping) {
+            table.leaving(target);
+        } else {
+            table.heard(target);
+            handle(link, target, message);
+        }
+    }
+
+    private void handle(Link link, TargetId target, Message message) {
+        if (message instanceof Message.Ping ping) {
             link.send(new Message.Pong(ping.sequence()));
         } else {
             callMessages.received(target, message);
@@ -104,9 +127,9 @@
         }
         Sidecar sidecar = sidecars.get(target);
         if (sidecar != null && sidecar.remove(link)) {
-            sidecars.remove(target);
-            blackboard.fleet().update(fleet -> fleet.without(target));
-            Logger.info("target {} is not linked any more", target);
+            table.unlinked(target);
+            sidecars.computeIfPresent(target, (id, present) -> present.hasNoLane() ? null : present);
+            Logger.info("target {} has lost a link", target);
         }
         callMessages.linkClosed(target);
     }
@@ -132,14 +155,37 @@
         challenged.remove(link);
         TargetId target = new TargetId(new InstanceId(hello.instance()), hello.incarnation());
         targets.put(link, target);
-        Sidecar sidecar = sidecars.computeIfAbsent(target, id -> new Sidecar());
-        sidecar.add(hello.lane(), link);
+        Sidecar sidecar = sidecars.compute(target, (id, present) -> {
+            Sidecar joined = present == null ? new Sidecar() : present;
+            joined.add(hello.lane(), link);
+            return joined;
+        });
         link.send(new Message.Welcome(
                 blackboard.configuration().read().revision().value(),
                 settings.linkSecret().proof("entry", hello.nonce())));
+        if (leavingGraceMillis != NOT_LEAVING) {
+            link.send(new Message.Leaving(leavingGraceMillis));
+        }
         if (sidecar.hasAllLanes()) {
-            blackboard.fleet().update(fleet -> fleet.with(view(target, hello)));
+            introduce(target, hello);
+        }
+    }
+
+    private void introduce(TargetId target, Message.Hello hello) {
+        if (table.introduced(view(target, hello))) {
             Logger.info("target {} serves {}", target, hello.serves());
+            targets.forEach((other, id) -> {
+                if (id.instance().equals(target.instance()) && !id.equals(target)) {
+                    other.close();
+                }
+            });
+        } else {
+            Logger.warn("target {} is refused: this incarnation has left or was replaced", target);
+            targets.forEach((other, id) -> {
+                if (id.equals(target)) {
+                    other.close();
+                }
+            });
         }
     }
 
@@ -155,8 +201,8 @@
                 TargetLoad.NONE);
     }
 
-    private void updateLoad(TargetId target, Message.LoadReport report) {
-        TargetLoad load = new TargetLoad(
+    private static TargetLoad load(Message.LoadReport report) {
+        return new TargetLoad(
                 report.sequence(),
                 System.nanoTime(),
                 report.running(),
@@ -164,11 +210,6 @@
                 report.queuedTokens(),
                 report.outstandingTokens(),
                 report.freeKvTokens());
-        TargetState state = report.leaving() ? TargetState.LEAVING : TargetState.LIVE;
-        blackboard
-                .fleet()
-                .update(fleet ->
-                        fleet.change(target, view -> view.withLoad(load).withState(state)));
     }
 
     private static void reject(Link link, String reason) {
@@ -197,6 +238,10 @@
             return removed;
         }
 
+        boolean hasNoLane() {
+            return lanes.isEmpty();
+        }
+
         boolean hasAllLanes() {
             return lanes.size() == Lane.values().length;
         }
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -1,6 +1,7 @@
 package io.endiveshed.net.http;
 
 import io.endiveshed.net.http.internal.ServerConnection;
+import io.endiveshed.net.http.internal.ServerConnections;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -25,6 +26,7 @@
     private final InetSocketAddress address;
     private final HttpServerLimits limits;
     private final HttpHandler handler;
+    private final ServerConnections connections = new ServerConnections();
     private Channel channel;
 
     /** Makes a server that listens once started. */
@@ -49,7 +51,7 @@
                                 .addLast(new HttpServerCodec(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits.maxHeaderBytes())
                                         .setMaxHeaderSize(limits.maxHeaderBytes())))
-                                .addLast(new ServerConnection(limits, handler));
+                                .addLast(new ServerConnection(limits, handler, connections));
                     }
                 })
                 .bind(address)
@@ -62,6 +64,21 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Closes each connection after the response to its running or next request, which says so. */
+    public void drain() {
+        connections.drain();
+    }
+
+    /** Closes the connections that neither run nor receive a request; {@link #drain} must have been called. */
+    public void closeIdle() {
+        connections.closeIdle();
+    }
+
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return connections.count();
+    }
+
     /** Stops listening; open connections stay open. */
     public void stop() {
         channel.close().syncUninterruptibly();
--- a/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
@@ -17,17 +17,21 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /** Writes the response to one request on its channel. State is confined to the channel's event loop. */
 final class ChannelResponseSink implements ResponseSink {
     private final ChannelHandlerContext ctx;
-    private final boolean keepAlive;
+    private final BooleanSupplier keepAlive;
     private final boolean chunked;
-    private final Runnable whenFinished;
+    private final Consumer<Boolean> whenFinished;
     private Runnable disconnectAction;
     private boolean finished;
+    private boolean keepOpen;
 
-    ChannelResponseSink(ChannelHandlerContext ctx, boolean keepAlive, boolean chunked, Runnable whenFinished) {
+    ChannelResponseSink(
+            ChannelHandlerContext ctx, BooleanSupplier keepAlive, boolean chunked, Consumer<Boolean> whenFinished) {
         this.ctx = ctx;
         this.keepAlive = keepAlive;
         this.chunked = chunked;
@@ -41,8 +45,9 @@
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
             addHeaders(response, headers);
             HttpUtil.setContentLength(response, body.length);
-            HttpUtil.setKeepAlive(response, keepAlive);
-            finish(ctx.writeAndFlush(response), keepAlive);
+            keepOpen = keepAlive.getAsBoolean();
+            HttpUtil.setKeepAlive(response, keepOpen);
+            finish(ctx.writeAndFlush(response));
         });
     }
 
@@ -54,7 +59,8 @@
             if (chunked) {
                 response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
-            HttpUtil.setKeepAlive(response, keepAlive && chunked);
+            keepOpen = chunked && keepAlive.getAsBoolean();
+            HttpUtil.setKeepAlive(response, keepOpen);
             ctx.write(response, ctx.voidPromise());
         });
     }
@@ -67,7 +73,7 @@
 
     @Override
     public void end() {
-        onEventLoop(() -> finish(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive && chunked));
+        onEventLoop(() -> finish(ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)));
     }
 
     @Override
@@ -75,7 +81,7 @@
         onEventLoop(() -> {
             finished = true;
             ctx.close();
-            whenFinished.run();
+            whenFinished.accept(false);
         });
     }
 
@@ -98,12 +104,12 @@
         }
     }
 
-    private void finish(ChannelFuture written, boolean keepOpen) {
+    private void finish(ChannelFuture written) {
         finished = true;
         if (!keepOpen) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        whenFinished.run();
+        whenFinished.accept(keepOpen);
     }
 
     private static void addHeaders(HttpResponse response, List<Header> headers) {
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -38,27 +38,33 @@
 
     private final HttpServerLimits limits;
     private final HttpHandler handler;
+    private final ServerConnections connections;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private HttpRequest request;
     private ByteArrayOutputStream body;
     private ChannelResponseSink running;
     private ScheduledFuture<?> timeout;
+    private boolean closing;
 
     /** Makes the handler of one connection. */
-    public ServerConnection(HttpServerLimits limits, HttpHandler handler) {
+    public ServerConnection(HttpServerLimits limits, HttpHandler handler, ServerConnections connections) {
         super(false);
         this.limits = limits;
         this.handler = handler;
+        this.connections = connections;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        connections.add(ctx.channel());
         startTimeout(ctx, limits.headerTimeout().toMillis(), "header section");
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-        if (running == null) {
+        if (closing) {
+            ReferenceCountUtil.release(part);
+        } else if (running == null) {
             accept(ctx, part);
         } else if (pipelined.size() < MAX_PIPELINED_PARTS) {
             pipelined.add(part);
@@ -68,6 +74,13 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ServerConnections.CLOSE_IF_IDLE && running == null && request == null) {
+            ctx.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         cancelTimeout();
@@ -143,13 +156,16 @@
         boolean chunked = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         request = null;
         body = null;
-        running = new ChannelResponseSink(ctx, keepAlive, chunked, () -> finished(ctx));
+        running = new ChannelResponseSink(
+                ctx, () -> keepAlive && !connections.isDraining(), chunked, keptOpen -> finished(ctx, keptOpen));
         handler.handle(data, running);
     }
 
-    private void finished(ChannelHandlerContext ctx) {
+    private void finished(ChannelHandlerContext ctx, boolean keptOpen) {
         running = null;
-        if (!ctx.channel().isActive()) {
+        // A pipelined request after a response that closes the connection is not run: its answer could not be sent.
+        closing = !keptOpen;
+        if (closing || !ctx.channel().isActive()) {
             return;
         }
         while (running == null && !pipelined.isEmpty()) {
@@ -170,7 +186,7 @@
         cancelTimeout();
         request = null;
         body = null;
-        running = new ChannelResponseSink(ctx, false, true, () -> {});
+        running = new ChannelResponseSink(ctx, () -> false, true, keptOpen -> {});
         ErrorResponses.send(running, failure);
     }
 
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,26 +1,35 @@
 package io.endiveshed.sidecar;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.coordination.membership.EntryMesh;
+import io.endiveshed.coordination.membership.EntrySelection;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.link.LinkDialer;
-import io.endiveshed.protocol.Lane;
-import io.endiveshed.sidecar.internal.EntryLink;
+import io.endiveshed.ports.platform.InstanceList;
+import io.endiveshed.sidecar.internal.EntryLinks;
+import io.endiveshed.sidecar.internal.LinkContext;
 import io.endiveshed.sidecar.internal.TargetCalls;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetSocketAddress;
+import io.vavr.control.Either;
 import java.security.SecureRandom;
-import java.util.ArrayList;
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.agrona.concurrent.SystemNanoClock;
 import org.tinylog.Logger;
 
 /**
  * Sidecar of one target.
  *
  * <pre>{@code
- * SidecarDaemon sidecar = new SidecarDaemon(settings);
+ * SidecarDaemon sidecar = new SidecarDaemon(settings, instanceList);
  * sidecar.start();
  * ...
  * sidecar.stop();
@@ -30,38 +39,96 @@
     /** Event loops; one target's traffic fits two. */
     private static final int EVENT_LOOPS = 2;
 
+    /** Time to wait for the entries to acknowledge that the target leaves; one that is cut off never does. */
+    private static final Duration ANNOUNCE_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Time for a dispatch that an entry had decided on before it saw the announcement. */
+    private static final Duration SETTLE = Duration.ofMillis(200);
+
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long HOURS_INTERVAL_MILLIS = 1_000;
+
     private final SidecarSettings settings;
+    private final InstantSource clock;
     private final EventLoopGroup loops;
     private final HttpClient target;
-    private final List<EntryLink> entries = new ArrayList<>();
+    private final TargetCalls calls;
+    private final EntryLinks entries;
+    private final AtomicBoolean linked = new AtomicBoolean();
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
-    /** Makes a sidecar that connects once started. */
+    /** Makes a sidecar that knows only the entries of its settings. */
     public SidecarDaemon(SidecarSettings settings) {
+        this(settings, () -> CompletableFuture.completedFuture(Either.right(List.of())), InstantSource.system());
+    }
+
+    /** Makes a sidecar that connects once started; the clock decides about opening hours. */
+    public SidecarDaemon(SidecarSettings settings, InstanceList list, InstantSource clock) {
         this.settings = settings;
+        this.clock = clock;
         this.loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
         this.target = new HttpClient(loops, settings.targetAddress());
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
-        LinkDialer dialer = new LinkDialer(loops);
-        TargetCalls calls = new TargetCalls(settings, incarnation, target);
-        for (InetSocketAddress entry : settings.entries()) {
-            for (Lane lane : Lane.values()) {
-                entries.add(new EntryLink(settings, incarnation, entry, lane, dialer, loops, random, calls));
-            }
-        }
+        this.calls = new TargetCalls(settings, incarnation, target);
+        LinkContext context = new LinkContext(settings, incarnation, new LinkDialer(loops), loops, random, calls);
+        EntrySelection selection = new EntrySelection(settings.instance(), settings.place());
+        EntryMesh mesh = new EntryMesh(selection, EntryLinks.seeds(settings), SystemNanoClock.INSTANCE);
+        this.entries = new EntryLinks(context, mesh, list);
     }
 
-    /** Opens links to the entry daemons. */
+    /** Opens links to the entry daemons, or waits for the opening time; at closing time the sidecar stops. */
     public void start() {
-        entries.forEach(EntryLink::start);
+        followHours();
+        loops.scheduleAtFixedRate(
+                this::followHours, HOURS_INTERVAL_MILLIS, HOURS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         Logger.info("sidecar of {} started: target {}", settings.instance(), settings.targetAddress());
     }
 
-    /** Closes every connection. */
+    /**
+     * Announces that the target leaves, refuses new work, lets running work finish within the grace period of the
+     * settings, fails the rest and closes every connection. Further calls have no effect.
+     */
     public void stop() {
-        entries.forEach(EntryLink::stop);
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        long start = System.nanoTime();
+        calls.drain();
+        entries.announceLeaving(settings.stopGrace());
+        await(entries::isLeavingKnown, start, ANNOUNCE_TIMEOUT);
+        if (linked.get()) {
+            await(() -> false, System.nanoTime(), SETTLE);
+        }
+        await(calls::isIdle, start, settings.stopGrace());
+        calls.failRemaining();
+        entries.stop();
+        await(entries::isClosed, System.nanoTime(), CLOSE_TIMEOUT);
         target.stop();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         Logger.info("sidecar of {} stopped", settings.instance());
     }
+
+    /** Tells whether the sidecar has stopped, on request or at closing time. */
+    public boolean isStopped() {
+        return loops.isTerminated();
+    }
+
+    private void followHours() {
+        boolean open = settings.openingHours().isOpen(clock.instant());
+        if (open && linked.compareAndSet(false, true)) {
+            entries.start();
+        } else if (!open && linked.get() && !stopping.get()) {
+            Logger.info("closing time of {}", settings.instance());
+            // stop() waits for the event loops and must not run on one of them.
+            new Thread(this::stop, "closing-time").start();
+        }
+    }
+
+    private static void await(BooleanSupplier condition, long startNanos, Duration timeout) {
+        while (!condition.getAsBoolean() && System.nanoTime() - startNanos < timeout.toNanos()) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
 }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
@@ -4,13 +4,19 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.coordination.membership.Place;
 import io.endiveshed.net.link.LinkSecret;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 
 /** Settings of a sidecar. */
 public final class SidecarSettings {
+    /** Default for {@link #stopGrace()}. */
+    public static final Duration DEFAULT_STOP_GRACE = Duration.ofSeconds(30);
+
     /** Default for {@link #maxRunning()}. */
     public static final int DEFAULT_MAX_RUNNING = 256;
 
@@ -24,6 +30,8 @@
     private final LinkSecret linkSecret;
     private final long kvCapacityTokens;
     private final int maxRunning;
+    private final Duration stopGrace;
+    private final OpeningHours openingHours;
 
     private SidecarSettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -36,6 +44,8 @@
         this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
         this.kvCapacityTokens = builder.kvCapacityTokens;
         this.maxRunning = builder.maxRunning;
+        this.stopGrace = builder.stopGrace;
+        this.openingHours = builder.openingHours;
     }
 
     /** Starts settings. */
@@ -93,6 +103,21 @@
         return maxRunning;
     }
 
+    /** Returns the failure domain and region of the instance. */
+    public Place place() {
+        return new Place(region, failureDomain);
+    }
+
+    /** Returns the time that running work has to finish when the process stops. */
+    public Duration stopGrace() {
+        return stopGrace;
+    }
+
+    /** Returns when the process serves; outside these hours it drains and stops. */
+    public OpeningHours openingHours() {
+        return openingHours;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -105,6 +130,8 @@
         private LinkSecret linkSecret;
         private long kvCapacityTokens;
         private int maxRunning = DEFAULT_MAX_RUNNING;
+        private Duration stopGrace = DEFAULT_STOP_GRACE;
+        private OpeningHours openingHours = OpeningHours.ALWAYS;
 
         private Builder() {}
 
@@ -168,6 +195,18 @@
             return this;
         }
 
+        /** Sets the time that running work has to finish when the process stops. */
+        public Builder stopGrace(Duration value) {
+            this.stopGrace = value;
+            return this;
+        }
+
+        /** Sets when the process serves. */
+        public Builder openingHours(OpeningHours value) {
+            this.openingHours = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public SidecarSettings build() {
             return new SidecarSettings(this);
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -1,81 +1,116 @@
 package io.endiveshed.sidecar.internal;
 
-import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.net.link.Link;
-import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
 import io.endiveshed.sidecar.SidecarSettings;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /** Keeps one link to one entry daemon open: introduces the sidecar, reports load and reconnects with back-off. */
-public final class EntryLink implements LinkListener {
+final class EntryLink implements LinkListener {
     private static final int NONCE_BYTES = 16;
     private static final long MIN_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 2_000;
     private static final long REPORT_INTERVAL_MILLIS = 500;
+    private static final long NOT_LEAVING = -1;
 
-    private final SidecarSettings settings;
-    private final Incarnation incarnation;
-    private final InetSocketAddress entry;
+    /** Sequence of the ping after {@link Message.Leaving}; its pong shows that the entry has seen the announcement. */
+    private static final long LEAVING_PING = 0;
+
+    private static final long PING_INTERVAL_MILLIS = 2_000;
+
+    private final LinkContext context;
+    private final ListedInstance entry;
+    private final InetSocketAddress address;
     private final Lane lane;
-    private final LinkDialer dialer;
-    private final ScheduledExecutorService timers;
-    private final RandomGenerator random;
-    private final TargetCalls calls;
+    private final Predicate<Link> linksOfEntry;
+    private final Runnable whenLeaving;
     private byte[] nonce = new byte[0];
     private long backoffMillis = MIN_BACKOFF_MILLIS;
     private long sequence;
-    private boolean welcomed;
     private Future<?> reports;
+    private Future<?> pings;
     private volatile Link link;
+    private volatile boolean welcomed;
     private volatile boolean stopped;
+    private volatile long leavingGraceMillis = NOT_LEAVING;
+    private volatile boolean leavingKnown;
 
-    /** Makes a link that connects once started. */
-    public EntryLink(
-            SidecarSettings settings,
-            Incarnation incarnation,
-            InetSocketAddress entry,
-            Lane lane,
-            LinkDialer dialer,
-            ScheduledExecutorService timers,
-            RandomGenerator random,
-            TargetCalls calls) {
-        this.settings = settings;
-        this.incarnation = incarnation;
+    /**
+     * Makes a link that connects once started.
+     *
+     * @param linksOfEntry accepts the links of all lanes to the same entry
+     * @param whenLeaving runs when the entry announces that it leaves
+     */
+    EntryLink(
+            LinkContext context, ListedInstance entry, Lane lane, Predicate<Link> linksOfEntry, Runnable whenLeaving) {
+        this.context = context;
         this.entry = entry;
+        this.address = new InetSocketAddress(entry.host(), entry.port());
         this.lane = lane;
-        this.dialer = dialer;
-        this.timers = timers;
-        this.random = random;
-        this.calls = calls;
+        this.linksOfEntry = linksOfEntry;
+        this.whenLeaving = whenLeaving;
+    }
+
+    /** Returns the id of an entry of which only the address is known. */
+    static InstanceId seedId(InetSocketAddress address) {
+        return new InstanceId(address.getHostString() + ":" + address.getPort());
     }
 
     /** Starts to connect. */
-    public void start() {
-        dialer.dial(entry, this, this::reconnectLater);
+    void start() {
+        context.dialer().dial(address, this, this::reconnectLater);
+    }
+
+    /** Tells the entry, now and on each reconnection, that the target takes no new work. */
+    void announceLeaving(long graceMillis) {
+        leavingGraceMillis = graceMillis;
+        Link current = link;
+        if (current != null && welcomed) {
+            sendLeaving(current);
+        }
     }
 
-    /** Closes the link and stops reconnecting. */
-    public void stop() {
+    /** Tells whether the entry has acknowledged that the target leaves, or is not linked. */
+    boolean isLeavingKnown() {
+        return leavingKnown || !welcomed;
+    }
+
+    /** Closes the link after the messages sent so far, and stops reconnecting. */
+    void stop() {
         stopped = true;
         Link current = link;
         if (current != null) {
-            current.close();
+            current.send(new Message.Ping(++sequence), current::close);
         }
     }
 
+    boolean isClosed() {
+        return link == null;
+    }
+
+    boolean isWelcomed() {
+        return welcomed;
+    }
+
+    boolean isOver(Link other) {
+        return link == other;
+    }
+
     @Override
     public void opened(Link opened) {
         link = opened;
-        welcomed = false;
+        if (stopped) {
+            opened.close();
+        }
     }
 
     @Override
@@ -86,38 +121,57 @@
             acceptWelcome(from, welcome);
         } else if (!welcomed) {
             Logger.warn(
-                    "entry {} sent {} before Welcome", entry, message.getClass().getSimpleName());
+                    "entry {} sent {} before Welcome",
+                    address,
+                    message.getClass().getSimpleName());
             from.close();
         } else if (message instanceof Message.Ping ping) {
             from.send(new Message.Pong(ping.sequence()));
+        } else if (message instanceof Message.Pong pong) {
+            leavingKnown |= pong.sequence() == LEAVING_PING;
+        } else if (message instanceof Message.Leaving) {
+            whenLeaving.run();
         } else {
-            calls.received(from, message);
+            context.calls().received(from, message);
         }
     }
 
     @Override
     public void closed(Link closed) {
+        if (pings != null) {
+            pings.cancel(false);
+        }
         if (reports != null) {
             reports.cancel(false);
         }
+        context.calls().linkClosed(closed);
         link = null;
-        calls.linkClosed(closed);
+        welcomed = false;
         reconnectLater();
     }
 
     private void introduce(Link to, Message.Challenge challenge) {
         if (challenge.version() != ProtocolLimits.VERSION) {
             Logger.warn(
-                    "entry {} speaks protocol version {}, not {}", entry, challenge.version(), ProtocolLimits.VERSION);
+                    "entry {} speaks protocol version {}, not {}",
+                    address,
+                    challenge.version(),
+                    ProtocolLimits.VERSION);
+            to.close();
+            return;
+        }
+        if (!entry.id().equals(seedId(address)) && !entry.id().value().equals(challenge.entryInstance())) {
+            Logger.warn("{} is entry {} now, not {}", address, challenge.entryInstance(), entry.id());
             to.close();
             return;
         }
         nonce = new byte[NONCE_BYTES];
-        random.nextBytes(nonce);
+        context.random().nextBytes(nonce);
+        SidecarSettings settings = context.settings();
         to.send(new Message.Hello(
                 ProtocolLimits.VERSION,
                 settings.instance().value(),
-                incarnation,
+                context.incarnation(),
                 settings.region().value(),
                 settings.failureDomain().value(),
                 settings.targetKind(),
@@ -130,23 +184,38 @@
     }
 
     private void acceptWelcome(Link from, Message.Welcome welcome) {
-        if (!settings.linkSecret().accepts("entry", nonce, welcome.proof())) {
-            Logger.warn("entry {} does not know the link secret", entry);
+        if (!context.settings().linkSecret().accepts("entry", nonce, welcome.proof())) {
+            Logger.warn("entry {} does not know the link secret", address);
             from.close();
             return;
         }
         welcomed = true;
         backoffMillis = MIN_BACKOFF_MILLIS;
-        reports = timers.scheduleAtFixedRate(
-                () -> from.send(calls.report(from, ++sequence)), 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        if (leavingGraceMillis != NOT_LEAVING) {
+            sendLeaving(from);
+        }
+        pings = every(PING_INTERVAL_MILLIS, () -> from.send(new Message.Ping(++sequence)));
+        if (lane == Lane.SHORT) {
+            reports = every(
+                    REPORT_INTERVAL_MILLIS, () -> from.send(context.calls().report(linksOfEntry, ++sequence)));
+        }
+    }
+
+    private Future<?> every(long millis, Runnable task) {
+        return context.timers().scheduleAtFixedRate(task, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void sendLeaving(Link to) {
+        to.send(new Message.Leaving(leavingGraceMillis));
+        to.send(new Message.Ping(LEAVING_PING));
     }
 
     private void reconnectLater() {
         if (stopped) {
             return;
         }
-        long delay = backoffMillis / 2 + random.nextLong(backoffMillis / 2 + 1);
+        long delay = backoffMillis / 2 + context.random().nextLong(backoffMillis / 2 + 1);
         backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-        timers.schedule(this::start, delay, TimeUnit.MILLISECONDS);
+        context.timers().schedule(this::start, delay, TimeUnit.MILLISECONDS);
     }
 }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -100,13 +100,25 @@
         }
     }
 
+    /** Ends the call because the sidecar stops, and tells the entry. */
+    void stop() {
+        end(() -> fail(
+                ErrorKind.STOPPING,
+                "the sidecar stopped before the answer was complete",
+                run ? Outcome.UNKNOWN : Outcome.NOT_RUN));
+    }
+
     void cancel() {
+        end(() -> finished = true);
+    }
+
+    private void end(Runnable finish) {
         HttpExchange current;
         synchronized (this) {
             if (finished) {
                 return;
             }
-            finished = true;
+            finish.run();
             current = exchange;
         }
         if (current != null) {
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
@@ -13,6 +13,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /** The calls of one target: receives their bodies, queues them and runs a bounded number at a time. */
 public final class TargetCalls {
@@ -26,6 +27,7 @@
     private final Queue<TargetCall> waiting = new ArrayDeque<>();
     private final AtomicLong bodyBytes = new AtomicLong();
     private int running;
+    private volatile boolean draining;
 
     /** Makes the table of calls of one target. */
     public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target) {
@@ -55,8 +57,28 @@
         calls.values().stream().filter(call -> call.link() == link).forEach(TargetCall::cancel);
     }
 
-    /** Returns the load report for a link. */
-    public Message.LoadReport report(Link link, long sequence) {
+    /** Refuses new calls from now on; calls that are held already go on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Tells whether no call is held. */
+    public boolean isIdle() {
+        return calls.isEmpty();
+    }
+
+    /** Tells whether a call is held that came over one of the links. */
+    public boolean hasCalls(Predicate<Link> links) {
+        return calls.values().stream().anyMatch(call -> links.test(call.link()));
+    }
+
+    /** Fails the calls that are left when the process stops. */
+    public void failRemaining() {
+        calls.values().forEach(TargetCall::stop);
+    }
+
+    /** Returns the load report for an entry, whose links the predicate accepts. */
+    public Message.LoadReport report(Predicate<Link> links, long sequence) {
         int queued;
         int active;
         synchronized (waiting) {
@@ -65,11 +87,11 @@
         }
         long total = calls.values().stream().mapToLong(TargetCall::kvTokens).sum();
         long ours = calls.values().stream()
-                .filter(call -> call.link() == link)
+                .filter(call -> links.test(call.link()))
                 .mapToLong(TargetCall::kvTokens)
                 .sum();
         return new Message.LoadReport(
-                sequence, active, queued, 0, ours, Math.max(0, settings.kvCapacityTokens() - total), false, 0);
+                sequence, active, queued, 0, ours, Math.max(0, settings.kvCapacityTokens() - total), draining, 0);
     }
 
     private void accept(Link link, Message.Dispatch dispatch) {
@@ -77,6 +99,10 @@
             refuse(link, dispatch, ErrorKind.STALE_INCARNATION, "this sidecar is incarnation " + incarnation);
             return;
         }
+        if (draining) {
+            refuse(link, dispatch, ErrorKind.STOPPING, "target " + settings.instance() + " is leaving");
+            return;
+        }
         if (bodyBytes.addAndGet(dispatch.bodyBytes()) > MAX_BODY_BYTES) {
             bodyBytes.addAndGet(-dispatch.bodyBytes());
             refuse(link, dispatch, ErrorKind.OVERLOADED, "request bodies fill " + MAX_BODY_BYTES + " bytes");
