--- a/coordination/src/main/java/io/endiveshed/coordination/blackboard/Cell.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/cell/Cell.java
@@ -1,4 +1,4 @@
-package io.endiveshed.coordination.blackboard;
+package io.endiveshed.coordination.cell;
 
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
--- a/local/src/test/java/io/endiveshed/local/BrokenPartsTest.java
+++ b/local/src/test/java/io/endiveshed/local/BrokenPartsTest.java
@@ -30,7 +30,7 @@
     /** Guards against an engine that is down failing requests that another engine could answer. */
     @Test
     void engineThatRefusesConnectionsIsReplacedByAnother() throws Exception {
-        try (TestFleet fleet = new TestFleet(2, Duration.ZERO)) {
+        try (RelayFleet fleet = new RelayFleet(2, Duration.ZERO)) {
             fleet.engine(0).crash();
             List<CompletableFuture<HttpResponse<String>>> answers = IntStream.range(0, CALLERS)
                     .mapToObj(i ->
@@ -46,7 +46,7 @@
     /** Guards against a broken answer that the caller could take for a whole one. */
     @Test
     void engineThatBreaksMidStreamLeavesATruncatedStream() throws Exception {
-        try (TestFleet fleet = new TestFleet(2, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(2, SLOW)) {
             BufferedReader lines = open(fleet, ENDLESS_TOKENS);
             assertThat(lines.readLine()).startsWith("data:");
             fleet.engine(0).breakAnswers();
@@ -62,7 +62,7 @@
     /** Guards against a gap or a repetition after a link broke in the middle of a stream. */
     @Test
     void streamGoesOnAfterItsLinkBroke() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             BufferedReader lines = open(fleet, LONG_ANSWER_TOKENS);
             StringBuilder seen = new StringBuilder(lines.readLine()).append('\n');
             fleet.relay().cut();
@@ -76,20 +76,20 @@
     /** Guards against engine memory that stays in use, and a caller that waits, when a link stays broken. */
     @Test
     void linkThatStaysBrokenEndsTheStreamAndFreesTheEngine() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             BufferedReader lines = open(fleet, ENDLESS_TOKENS);
             StringBuilder seen = new StringBuilder(lines.readLine());
             fleet.relay().cutForGood();
             assertThrows(IOException.class, () -> readAll(lines, seen));
             assertThat(seen.toString()).contains("\"code\":\"link_lost\"");
-            TestFleet.await(() -> fleet.running() == 0);
+            RelayFleet.await(() -> fleet.running() == 0);
         }
     }
 
     /** Guards against a body of which only a part arrived being run or reported as an error. */
     @Test
     void bodyCutOffOnTheWayIsSentToAnotherTarget() throws Exception {
-        try (TestFleet fleet = new TestFleet(2, Duration.ZERO)) {
+        try (RelayFleet fleet = new RelayFleet(2, Duration.ZERO)) {
             String prompt = "word".repeat(200_000);
             fleet.relay().cutAfterBytesFromEntry(300_000);
             HttpResponse<String> answer =
@@ -106,19 +106,19 @@
     /** Guards against engine memory held for a caller that has gone. */
     @Test
     void callerThatGoesAwayFreesTheEngine() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             BufferedReader lines = open(fleet, ENDLESS_TOKENS);
             assertThat(lines.readLine()).startsWith("data:");
             assertThat(fleet.running()).isEqualTo(1);
             lines.close();
-            TestFleet.await(() -> fleet.running() == 0);
+            RelayFleet.await(() -> fleet.running() == 0);
         }
     }
 
     /** Guards against engine memory held after the deadline, and callers told later than they asked for. */
     @Test
     void passedDeadlineAnswersTheCallerAndFreesTheEngine() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             HttpResponse<String> answer = client.send(
                     fleet.completion("hello", ENDLESS_TOKENS, false)
                             .header("X-Request-Deadline-Ms", "300")
@@ -126,34 +126,34 @@
                     BodyHandlers.ofString());
             assertThat(answer.statusCode()).isEqualTo(504);
             assertThat(answer.body()).contains("\"code\":\"deadline_exceeded\"");
-            TestFleet.await(() -> fleet.running() == 0);
+            RelayFleet.await(() -> fleet.running() == 0);
         }
     }
 
     /** Guards against engine memory held for an entry that has died. */
     @Test
     void deadEntryFreesTheEngine() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             assertThat(open(fleet, ENDLESS_TOKENS).readLine()).startsWith("data:");
             fleet.stopEntry();
-            TestFleet.await(() -> fleet.running() == 0);
+            RelayFleet.await(() -> fleet.running() == 0);
         }
     }
 
     /** Guards against requests of a dead sidecar that an engine goes on with for nobody. */
     @Test
     void restartedSidecarCancelsWhatItsEngineStillRuns() throws Exception {
-        try (TestFleet fleet = new TestFleet(1, SLOW)) {
+        try (RelayFleet fleet = new RelayFleet(1, SLOW)) {
             fleet.engine(0).ignoreDisconnects();
             assertThat(open(fleet, ENDLESS_TOKENS).readLine()).startsWith("data:");
             fleet.stopSidecar(0);
             assertThat(fleet.running()).isEqualTo(1);
             fleet.startSidecar(0);
-            TestFleet.await(() -> fleet.running() == 0);
+            RelayFleet.await(() -> fleet.running() == 0);
         }
     }
 
-    private BufferedReader open(TestFleet fleet, int tokens) throws Exception {
+    private BufferedReader open(RelayFleet fleet, int tokens) throws Exception {
         HttpResponse<InputStream> response =
                 client.send(fleet.completion("hello", tokens, true).build(), BodyHandlers.ofInputStream());
         return new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8));
--- a/local/src/test/java/io/endiveshed/local/TestFleet.java
+++ b/local/src/test/java/io/endiveshed/local/RelayFleet.java
@@ -35,7 +35,7 @@
 import java.util.function.BooleanSupplier;
 
 /** One entry and engines whose links pass through a {@link Relay}. */
-final class TestFleet implements AutoCloseable {
+final class RelayFleet implements AutoCloseable {
     static final String KEY = "test-key";
     static final String MODEL = "endive-llm";
 
@@ -50,7 +50,7 @@
     private final Relay relay;
     private boolean entryStopped;
 
-    TestFleet(int engineCount, Duration timePerToken) throws IOException {
+    RelayFleet(int engineCount, Duration timePerToken) throws IOException {
         blackboard
                 .configuration()
                 .update(none -> Configuration.builder(new Revision(1))
@@ -65,6 +65,7 @@
                         .callerAddress(loopback(0))
                         .linkAddress(loopback(0))
                         .linkSecret(SECRET)
+                        .stopGrace(Duration.ZERO)
                         .build(),
                 blackboard);
         entry.start();
@@ -90,6 +91,7 @@
                 .entries(List.of(relay.address()))
                 .linkSecret(SECRET)
                 .kvCapacityTokens(4_000_000)
+                .stopGrace(Duration.ZERO)
                 .build());
         if (engine < sidecars.size()) {
             sidecars.set(engine, sidecar);
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -1,17 +1,15 @@
 package io.endiveshed.net.http;
 
 import io.endiveshed.net.http.internal.ServerConnection;
+import io.endiveshed.net.http.internal.ServerConnections;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 
 /**
@@ -28,7 +26,7 @@
     private final InetSocketAddress address;
     private final HttpServerLimits limits;
     private final HttpHandler handler;
-    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final ServerConnections connections = new ServerConnections();
     private Channel channel;
 
     /** Makes a server that listens once started. */
@@ -48,13 +46,12 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel connection) {
-                        connections.add(connection);
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits.maxHeaderBytes())
                                         .setMaxHeaderSize(limits.maxHeaderBytes())))
-                                .addLast(new ServerConnection(limits, handler));
+                                .addLast(new ServerConnection(limits, handler, connections));
                     }
                 })
                 .bind(address)
@@ -69,7 +66,22 @@
 
     /** Closes the open connections, whatever runs on them. */
     public void closeConnections() {
-        connections.close().syncUninterruptibly();
+        connections.closeAll();
+    }
+
+    /** Closes each connection after the response to its running or next request, which says so. */
+    public void drain() {
+        connections.drain();
+    }
+
+    /** Closes the connections that neither run nor receive a request; {@link #drain} must have been called. */
+    public void closeIdle() {
+        connections.closeIdle();
+    }
+
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return connections.count();
     }
 
     /** Stops listening; open connections stay open. */
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * One call from its dispatch until the entry has acknowledged its end. Methods are synchronized on the call.
@@ -58,6 +59,10 @@
         return link == other;
     }
 
+    synchronized boolean isOnAnyOf(Predicate<Link> links) {
+        return link != null && links.test(link);
+    }
+
     AttemptId attempt() {
         return dispatch.attempt();
     }
@@ -142,6 +147,11 @@
         }
     }
 
+    /** Ends the call because the sidecar stops, and tells the entry. */
+    void stop() {
+        fail(ErrorKind.STOPPING, "the sidecar stopped before the answer was complete", outcome());
+    }
+
     /** Stops the call without an answer. */
     void cancel() {
         release();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /** The calls of one target: receives their bodies, queues them and runs a bounded number at a time. */
 public final class TargetCalls {
@@ -35,6 +36,7 @@
     private final Set<TargetCall> running = new LinkedHashSet<>();
     private final AtomicLong bodyBytes = new AtomicLong();
     private final AtomicLong droppedFrames = new AtomicLong();
+    private volatile boolean draining;
 
     /** Makes the table of calls of one target. */
     public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target) {
@@ -87,8 +89,28 @@
         return droppedFrames.get();
     }
 
-    /** Returns the load report for a link. */
-    public Message.LoadReport report(Link link, long sequence) {
+    /** Refuses new calls from now on; calls that are held already go on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Tells whether no call is held. */
+    public boolean isIdle() {
+        return calls.isEmpty();
+    }
+
+    /** Tells whether a call is held that came over one of the links. */
+    public boolean hasCalls(Predicate<Link> links) {
+        return calls.values().stream().anyMatch(call -> call.isOnAnyOf(links));
+    }
+
+    /** Fails the calls that are left when the process stops. */
+    public void failRemaining() {
+        calls.values().forEach(TargetCall::stop);
+    }
+
+    /** Returns the load report for an entry, whose links the predicate accepts. */
+    public Message.LoadReport report(Predicate<Link> links, long sequence) {
         int queued;
         int active;
         synchronized (waiting) {
@@ -100,11 +122,11 @@
         for (TargetCall call : calls.values()) {
             if (!call.isReleased()) {
                 total += call.kvTokens();
-                ours += call.isOn(link) ? call.kvTokens() : 0;
+                ours += call.isOnAnyOf(links) ? call.kvTokens() : 0;
             }
         }
         return new Message.LoadReport(
-                sequence, active, queued, 0, ours, Math.max(0, settings.kvCapacityTokens() - total), false, 0);
+                sequence, active, queued, 0, ours, Math.max(0, settings.kvCapacityTokens() - total), draining, 0);
     }
 
     private void accept(Link link, Message.Dispatch dispatch) {
@@ -113,6 +135,10 @@
             refuse(link, dispatch, ErrorKind.STALE_INCARNATION, "this sidecar is incarnation " + incarnation);
             return;
         }
+        if (draining) {
+            refuse(link, dispatch, ErrorKind.STOPPING, "target " + settings.instance() + " is leaving");
+            return;
+        }
         if (dispatch.bodyBytes() < 0 || dispatch.bodyBytes() > MAX_BODY_BYTES) {
             refuse(link, dispatch, ErrorKind.PROTOCOL_ERROR, "body of " + dispatch.bodyBytes() + " bytes");
             return;
--- a/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
@@ -119,6 +119,11 @@
             }
         }
 
+        @Override
+        public boolean isOpen() {
+            return !pair.broken;
+        }
+
         @Override
         public String remoteAddress() {
             return "virtual";
