Add cost model, routing, queueing, admission and retry decisions

The thin path chooses the target with the fewest outstanding requests, so a request of 100 K tokens counts as much as one of 1 K. These classes decide by predicted engine time instead. They are pure logic with injected clock and randomness, not yet measured and not yet called by entry or sidecar.

RoutingRequest gains a prefix key with a constructor that leaves it out, so the entry module compiles unchanged.

--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/AdmissionController.java
@@ -0,0 +1,138 @@
+package io.endiveshed.coordination.admission;
+
+import io.endiveshed.base.error.ErrorKind;
+import io.endiveshed.base.error.Failure;
+import io.endiveshed.coordination.membership.TargetView;
+import io.endiveshed.coordination.routing.CostAwareSelector;
+import io.endiveshed.coordination.routing.RoutingChoice;
+import io.endiveshed.coordination.routing.RoutingRequest;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+/**
+ * Accepts or refuses requests at the entry; every refusal is immediate and has outcome {@code not_run}.
+ *
+ * <p>Checked in this order: whether any target can hold the prompt, whether a target is usable, whether the predicted
+ * finish is within the deadline, whether the backlog is within its bound, and, while there is a backlog, whether the
+ * account is within its fair share. Safe for use by several threads.
+ *
+ * <pre>{@code
+ * Either<Failure, RoutingChoice> decision = admission.decide(request, targets, selector.choose(routing, targets));
+ * }</pre>
+ */
+public final class AdmissionController {
+    private static final Duration NO_TARGET_RETRY = Duration.ofSeconds(2);
+    /** A shorter time would be rounded to zero in the Retry-After header, which counts in seconds. */
+    private static final long MIN_RETRY_NANOS = 1_000_000_000L;
+
+    private final AdmissionSettings settings;
+    private final LongSupplier nanoClock;
+    private final Map<String, FairShare> shares = new ConcurrentHashMap<>();
+
+    /** Makes a controller that reads time from a monotonic clock in nanoseconds. */
+    public AdmissionController(AdmissionSettings settings, LongSupplier nanoClock) {
+        this.settings = settings;
+        this.nanoClock = nanoClock;
+    }
+
+    /**
+     * Decides on a request.
+     *
+     * @param request the request
+     * @param targets all known targets of its model
+     * @param choice target that routing chose, if any is usable
+     * @return the choice, or the reason for the refusal
+     */
+    public Either<Failure, RoutingChoice> decide(
+            AdmissionRequest request, List<TargetView> targets, Optional<RoutingChoice> choice) {
+        RoutingRequest routing = request.routing();
+        if (!targets.isEmpty() && targets.stream().noneMatch(target -> CostAwareSelector.canHold(routing, target))) {
+            return Either.left(tooLong(routing, targets));
+        }
+        if (choice.isEmpty()) {
+            return Either.left(noTarget(routing));
+        }
+        FairShare share = shares.computeIfAbsent(routing.name(), name -> new FairShare(nanoClock));
+        long work = choice.get().work().total();
+        share.demanded(request.account(), request.weight(), work);
+        Optional<Failure> refusal = refusal(request, choice.get(), share);
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
+        share.accepted(request.account(), request.weight(), work);
+        return Either.right(choice.get());
+    }
+
+    private Optional<Failure> refusal(AdmissionRequest request, RoutingChoice choice, FairShare share) {
+        double predicted =
+                settings.deadlineMargin() * (choice.waitNanos() + choice.work().total());
+        if (predicted > request.remainingNanos()) {
+            return Optional.of(tooLate(request, choice, predicted));
+        }
+        long excess = choice.waitNanos() - settings.maxBacklogNanos();
+        if (excess > 0) {
+            return Optional.of(overloaded(
+                    "the backlog of " + seconds(choice.waitNanos()) + " is above the limit of "
+                            + seconds(settings.maxBacklogNanos()),
+                    excess));
+        }
+        boolean contended = choice.backlogNanos() > settings.fairShareBacklogNanos();
+        if (contended && share.isOverShare(request.account(), request.weight())) {
+            return Optional.of(Failure.of(ErrorKind.RATE_LIMITED)
+                    .message("client account " + request.account() + " is over its fair share of "
+                            + request.routing().name())
+                    .retryAfter(atLeastMinimum(share.nanosUntilShare(request.account(), request.weight())))
+                    .build());
+        }
+        return Optional.empty();
+    }
+
+    private static Failure tooLate(AdmissionRequest request, RoutingChoice choice, double predicted) {
+        String message = "the request would finish after " + seconds((long) predicted) + ", its deadline is in "
+                + seconds(request.remainingNanos());
+        boolean possibleWhenIdle = choice.work().total() < request.remainingNanos();
+        if (possibleWhenIdle) {
+            return overloaded(message, (long) predicted - request.remainingNanos());
+        }
+        return Failure.of(ErrorKind.DEADLINE_EXCEEDED)
+                .message(message + " and it needs " + seconds(choice.work().total()) + " on an idle engine")
+                .remedy("allow more time in X-Request-Deadline-Ms or shorten the prompt")
+                .build();
+    }
+
+    private static Failure tooLong(RoutingRequest routing, List<TargetView> targets) {
+        long limit =
+                targets.stream().mapToLong(TargetView::kvCapacityTokens).max().orElse(0);
+        return Failure.of(ErrorKind.PROMPT_TOO_LONG)
+                .message("prompt and answer need " + routing.kvTokens() + " tokens, the limit of " + routing.name()
+                        + " is " + limit)
+                .build();
+    }
+
+    private static Failure noTarget(RoutingRequest routing) {
+        return Failure.of(ErrorKind.NO_TARGET)
+                .message("no live target serves " + routing.name())
+                .retryAfter(NO_TARGET_RETRY)
+                .build();
+    }
+
+    private static Failure overloaded(String message, long retryNanos) {
+        return Failure.of(ErrorKind.OVERLOADED)
+                .message(message)
+                .retryAfter(atLeastMinimum(retryNanos))
+                .build();
+    }
+
+    private static Duration atLeastMinimum(long nanos) {
+        return Duration.ofNanos(Math.max(MIN_RETRY_NANOS, nanos));
+    }
+
+    private static String seconds(long nanos) {
+        return Duration.ofNanos(nanos).toMillis() / 1000.0 + " s";
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/FairShare.java
@@ -0,0 +1,112 @@
+package io.endiveshed.coordination.admission;
+
+import io.endiveshed.base.id.ClientAccountId;
+import io.endiveshed.coordination.cost.DecayedSum;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+/**
+ * Weighted max-min fair share of one model's capacity among client accounts, measured in engine time.
+ *
+ * <p>Each account's recent demand and recent accepted work are kept as decaying sums. The level is the largest engine
+ * time per unit of weight such that the demands cut to it fit into what was accepted recently; accounts below the level
+ * get all they ask for, and only the others are cut. Safe for use by several threads.
+ */
+public final class FairShare {
+    /** Time over which work counts as recent, in nanoseconds. */
+    public static final long TIME_CONSTANT_NANOS = 20_000_000_000L;
+
+    /** The level changes slowly and costs a sort of the accounts, so it is reused for this time, in nanoseconds. */
+    private static final long LEVEL_VALIDITY_NANOS = 100_000_000L;
+    /** Accounts whose recent demand has fallen below this are dropped, in nanoseconds of engine time. */
+    private static final double NEGLIGIBLE_NANOS = 1_000_000;
+    /** Part above its share that an account may use, so that measurement noise refuses nobody. */
+    private static final double TOLERANCE = 1.1;
+
+    private final LongSupplier nanoClock;
+    private final Map<ClientAccountId, Usage> usages = new ConcurrentHashMap<>();
+    private volatile Level level = new Level(Double.POSITIVE_INFINITY, Long.MIN_VALUE);
+
+    /** Makes an empty record. */
+    public FairShare(LongSupplier nanoClock) {
+        this.nanoClock = nanoClock;
+    }
+
+    /** Counts a request that an account asked for, whether it is accepted or not. */
+    public void demanded(ClientAccountId account, int weight, long workNanos) {
+        usage(account, weight).demand.add((double) workNanos);
+    }
+
+    /** Counts a request that was accepted. */
+    public void accepted(ClientAccountId account, int weight, long workNanos) {
+        usage(account, weight).accepted.add((double) workNanos);
+    }
+
+    /** Returns whether an account uses more than its share while others are short of theirs. */
+    public boolean isOverShare(ClientAccountId account, int weight) {
+        return usage(account, weight).accepted.value() > TOLERANCE * weight * level();
+    }
+
+    /** Returns the time after which an account over its share falls to it if it sends nothing, in nanoseconds. */
+    public long nanosUntilShare(ClientAccountId account, int weight) {
+        double used = usage(account, weight).accepted.value();
+        double share = Math.max(1, TOLERANCE * weight * level());
+        return used <= share ? 0 : Math.round(TIME_CONSTANT_NANOS * Math.log(used / share));
+    }
+
+    private Usage usage(ClientAccountId account, int weight) {
+        return usages.computeIfAbsent(account, id -> new Usage(weight, nanoClock));
+    }
+
+    private double level() {
+        Level current = level;
+        long now = nanoClock.getAsLong();
+        if (current.validUntilNanos <= now) {
+            usages.values().removeIf(usage -> usage.demand.value() < NEGLIGIBLE_NANOS);
+            current = new Level(computeLevel(), now + LEVEL_VALIDITY_NANOS);
+            level = current;
+        }
+        return current.nanosPerWeight;
+    }
+
+    /** Fills the accounts from the smallest demand per weight upwards until the accepted work is used up. */
+    private double computeLevel() {
+        List<Demand> demands = new ArrayList<>();
+        double left = 0;
+        double weights = 0;
+        for (Usage usage : usages.values()) {
+            demands.add(new Demand(usage.demand.value() / usage.weight, usage.weight));
+            left += usage.accepted.value();
+            weights += usage.weight;
+        }
+        demands.sort(Comparator.comparingDouble(Demand::nanosPerWeight));
+        for (Demand demand : demands) {
+            if (demand.nanosPerWeight * weights >= left) {
+                return left / weights;
+            }
+            left -= demand.nanosPerWeight * demand.weight;
+            weights -= demand.weight;
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+
+    private record Level(double nanosPerWeight, long validUntilNanos) {}
+
+    private record Demand(double nanosPerWeight, int weight) {}
+
+    private static final class Usage {
+        private final int weight;
+        private final DecayedSum demand;
+        private final DecayedSum accepted;
+
+        Usage(int weight, LongSupplier nanoClock) {
+            this.weight = Math.max(1, weight);
+            this.demand = new DecayedSum(nanoClock, TIME_CONSTANT_NANOS);
+            this.accepted = new DecayedSum(nanoClock, TIME_CONSTANT_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/cost/DecayedSum.java
@@ -0,0 +1,43 @@
+package io.endiveshed.coordination.cost;
+
+import java.util.function.LongSupplier;
+
+/** Sum whose past decays exponentially, so that it describes the recent past. Safe for use by several threads. */
+public final class DecayedSum {
+    private final LongSupplier nanoClock;
+    private final double timeConstantNanos;
+    private double value;
+    private long updatedNanos;
+
+    /**
+     * Makes an empty sum.
+     *
+     * @param nanoClock monotonic clock in nanoseconds
+     * @param timeConstantNanos time after which a value has fallen to 1/e, in nanoseconds
+     */
+    public DecayedSum(LongSupplier nanoClock, long timeConstantNanos) {
+        this.nanoClock = nanoClock;
+        this.timeConstantNanos = timeConstantNanos;
+        this.updatedNanos = nanoClock.getAsLong();
+    }
+
+    /** Adds an amount now. */
+    public synchronized void add(double amount) {
+        decay();
+        value += amount;
+    }
+
+    /** Returns the decayed sum; divided by the time constant it is a rate. */
+    public synchronized double value() {
+        decay();
+        return value;
+    }
+
+    private void decay() {
+        long now = nanoClock.getAsLong();
+        if (now > updatedNanos) {
+            value *= Math.exp(-(now - updatedNanos) / timeConstantNanos);
+            updatedNanos = now;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/StartOrder.java
@@ -0,0 +1,9 @@
+package io.endiveshed.coordination.queueing;
+
+/**
+ * Order to hand a request to the engine.
+ *
+ * @param request the request, whose KV memory is now reserved
+ * @param enginePriority priority for the engine's choice of prefill chunks; 0 is the most urgent
+ */
+public record StartOrder(QueuedRequest request, int enginePriority) {}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/WorkByEntry.java
@@ -0,0 +1,37 @@
+package io.endiveshed.coordination.queueing;
+
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.routing.BandWork;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Outstanding work of a target, in total and by the entry that sent it. Belongs to one thread. */
+public final class WorkByEntry {
+    private final Map<InstanceId, BandWork> byEntry = new HashMap<>();
+    private BandWork total = BandWork.NONE;
+
+    /** Adds work that an entry sent. */
+    public void add(InstanceId entry, BandWork work) {
+        total = total.plus(work);
+        byEntry.merge(entry, work, BandWork::plus);
+    }
+
+    /** Subtracts work that is done or dropped. */
+    public void subtract(InstanceId entry, BandWork work) {
+        total = total.minus(work);
+        byEntry.computeIfPresent(entry, (id, old) -> {
+            BandWork left = old.minus(work);
+            return left.total() == 0 ? null : left;
+        });
+    }
+
+    /** Returns the work of all entries. */
+    public BandWork total() {
+        return total;
+    }
+
+    /** Returns the work of one entry. */
+    public BandWork of(InstanceId entry) {
+        return byEntry.getOrDefault(entry, BandWork.NONE);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/retry/FailedAttempt.java
@@ -0,0 +1,22 @@
+package io.endiveshed.coordination.retry;
+
+import io.endiveshed.base.error.Failure;
+import io.endiveshed.base.id.AttemptId;
+
+/**
+ * An attempt that failed.
+ *
+ * @param attempt identity of the attempt
+ * @param failure why it failed and what is known of its outcome
+ * @param repeatable whether the request is safe to run twice
+ * @param firstByteSent whether the caller has received a byte of the answer
+ * @param remainingNanos time until the caller's deadline, in nanoseconds
+ * @param neededNanos predicted time of another attempt, in nanoseconds
+ */
+public record FailedAttempt(
+        AttemptId attempt,
+        Failure failure,
+        boolean repeatable,
+        boolean firstByteSent,
+        long remainingNanos,
+        long neededNanos) {}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Budgets and rules for retries and hedged attempts. */
+package io.endiveshed.coordination.retry;
--- a/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingRequest.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingRequest.java
@@ -9,5 +9,20 @@
  * @param name model or service
  * @param promptTokens estimated prompt length in tokens; 0 for a plain service
  * @param maxTokens most tokens to generate; 0 for a plain service
+ * @param prefixKey hash of the part of the prompt that is likely to be shared, such as the system message, or {@link
+ *     #NO_PREFIX}
  */
-public record RoutingRequest(TargetKind kind, String name, long promptTokens, long maxTokens) {}
+public record RoutingRequest(TargetKind kind, String name, long promptTokens, long maxTokens, long prefixKey) {
+    /** Prefix key of a request whose prefix is not known. */
+    public static final long NO_PREFIX = 0;
+
+    /** Makes a request whose prefix is not known. */
+    public RoutingRequest(TargetKind kind, String name, long promptTokens, long maxTokens) {
+        this(kind, name, promptTokens, maxTokens, NO_PREFIX);
+    }
+
+    /** Returns the KV memory that the request can need, in tokens. */
+    public long kvTokens() {
+        return promptTokens + maxTokens;
+    }
+}
