Add a virtual-time harness for the scheduling decisions

The harness runs the coordination classes unchanged against a fake engine with continuous batching, chunked prefill by priority, superlinear prefill, limited KV memory, a prefix cache and lagging load reports.

--- /dev/null
+++ b/bench/src/main/java/io/endiveshed/bench/policy/ScheduledPolicy.java
@@ -0,0 +1,92 @@
+package io.endiveshed.bench.policy;
+
+import io.endiveshed.base.error.Failure;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.TargetId;
+import io.endiveshed.coordination.admission.AdmissionController;
+import io.endiveshed.coordination.admission.AdmissionRequest;
+import io.endiveshed.coordination.admission.AdmissionSettings;
+import io.endiveshed.coordination.admission.EntryScheduler;
+import io.endiveshed.coordination.cost.CostModel;
+import io.endiveshed.coordination.membership.TargetView;
+import io.endiveshed.coordination.retry.AttemptBudget;
+import io.endiveshed.coordination.retry.FailedAttempt;
+import io.endiveshed.coordination.routing.CostAwareSelector;
+import io.endiveshed.coordination.routing.OutstandingWork;
+import io.endiveshed.coordination.routing.PrefixAffinity;
+import io.endiveshed.coordination.routing.RoutingSettings;
+import io.endiveshed.coordination.routing.TargetHealth;
+import io.endiveshed.coordination.routing.WorkReport;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/** The decisions of the coordination library, unchanged. */
+final class ScheduledPolicy implements EntryPolicy {
+    private static final int MAX_PREFIXES = 1_024;
+
+    private final CostModel cost = new CostModel(CostModel.Coefficients.DEFAULT);
+    private final EntryScheduler scheduler;
+
+    ScheduledPolicy(FailureDomain domain, EventLoop loop, Random random) {
+        OutstandingWork outstanding = new OutstandingWork();
+        TargetHealth health = new TargetHealth(loop::now);
+        PrefixAffinity affinity = new PrefixAffinity(MAX_PREFIXES);
+        CostAwareSelector selector =
+                new CostAwareSelector(RoutingSettings.defaults(domain), cost, outstanding, health, affinity, random);
+        this.scheduler = new EntryScheduler(
+                selector,
+                new AdmissionController(AdmissionSettings.DEFAULT, loop::now),
+                outstanding,
+                health,
+                affinity,
+                new AttemptBudget(AttemptBudget.RETRY_SHARE, loop::now),
+                loop::now);
+    }
+
+    @Override
+    public Either<Failure, Placement> place(AdmissionRequest request, List<TargetView> targets) {
+        return scheduler.admit(request, targets).map(ticket -> new Placement(ticket.target(), ticket));
+    }
+
+    @Override
+    public Optional<Placement> retry(
+            AdmissionRequest request, FailedAttempt failed, TargetId failedTarget, List<TargetView> targets) {
+        return scheduler
+                .retry(request, failed, failedTarget, targets)
+                .map(ticket -> new Placement(ticket.target(), ticket));
+    }
+
+    @Override
+    public void firstToken(SimAttempt attempt, FakeEngine.Prefill prefill) {
+        if (prefill.uninterruptedNanos() > 0) {
+            cost.observePrefill(prefill.promptTokens(), prefill.cachedTokens(), prefill.uninterruptedNanos());
+        }
+        scheduler.firstToken(attempt.admission(), attempt.ticket());
+    }
+
+    @Override
+    public void finished(SimAttempt attempt, boolean timedOut) {
+        if (timedOut) {
+            scheduler.timedOut(attempt.ticket());
+        } else {
+            scheduler.finished(attempt.ticket());
+        }
+    }
+
+    @Override
+    public void reported(TargetId target, WorkReport report) {
+        scheduler.reported(target, report);
+    }
+
+    @Override
+    public void lost(TargetId target) {
+        scheduler.lost(target);
+    }
+
+    @Override
+    public void gone(TargetId target) {
+        scheduler.gone(target);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/endiveshed/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual-time harness that runs the routing, admission and queueing code against a fake engine. */
+package io.endiveshed.bench.policy;
--- a/coordination/src/main/java/io/endiveshed/coordination/cost/CostModel.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/cost/CostModel.java
@@ -4,8 +4,9 @@
  * Predicts engine time: prefill of {@code n} tokens takes {@code a*n + b*n^2}, decode a fixed time per token.
  *
  * <p>The coefficients are fitted to observations by least squares with forgetting. Time per token, {@code t/n = a +
- * b*n}, is fitted instead of the time, so that the many short prompts count as much as the few long ones. Safe for use
- * by several threads.
+ * b*n}, is fitted instead of the time, so that the many short prompts count as much as the few long ones. The engine
+ * time of a decoded token is what one more request in the batch adds to the time per token. Safe for use by several
+ * threads.
  *
  * <pre>{@code
  * CostModel cost = new CostModel(CostModel.Coefficients.DEFAULT);
@@ -14,28 +15,23 @@
  * }</pre>
  */
 public final class CostModel {
-    /** Weight that the past keeps with each observation. */
-    private static final double FORGETTING = 0.995;
-    /** Weight of the initial coefficients, in observations. */
+    /** Weight of the initial coefficients, in observations at each of two places. */
     private static final double PRIOR_WEIGHT = 3;
-    /** Prompt lengths at which the initial coefficients count as observed, in tokens. */
-    private static final double[] PRIOR_TOKENS = {1_000, 100_000};
 
-    private static final double DECODE_WEIGHT = 0.05;
+    private static final double PRIOR_SHORT_TOKENS = 1_000;
+    private static final double PRIOR_LONG_TOKENS = 100_000;
+    private static final double PRIOR_LARGE_BATCH = 32;
 
-    private double weight;
-    private double sumX;
-    private double sumXx;
-    private double sumY;
-    private double sumXy;
+    private final LinearFit prefill;
+    private final LinearFit decode;
     private volatile Coefficients coefficients;
 
     /** Makes a model that starts from the given coefficients. */
     public CostModel(Coefficients initial) {
         this.coefficients = initial;
-        for (double tokens : PRIOR_TOKENS) {
-            accumulate(PRIOR_WEIGHT, tokens, initial.linearNanos() + initial.quadraticNanos() * tokens);
-        }
+        this.prefill = new LinearFit(
+                initial.linearNanos(), initial.quadraticNanos(), PRIOR_SHORT_TOKENS, PRIOR_LONG_TOKENS, PRIOR_WEIGHT);
+        this.decode = new LinearFit(0, initial.decodeNanos(), 1, PRIOR_LARGE_BATCH, PRIOR_WEIGHT);
     }
 
     /** Returns the coefficients in effect. */
@@ -62,20 +58,15 @@
         if (computed <= 0 || elapsedNanos <= 0) {
             return;
         }
-        weight *= FORGETTING;
-        sumX *= FORGETTING;
-        sumXx *= FORGETTING;
-        sumY *= FORGETTING;
-        sumXy *= FORGETTING;
         // (n^2 - c^2) / (n - c) = n + c, so a cached prefix keeps the form t/computed = a + b*x.
-        accumulate(1, (double) promptTokens + cachedTokens, (double) elapsedNanos / computed);
-        fit();
+        prefill.observe((double) promptTokens + cachedTokens, (double) elapsedNanos / computed);
+        publish();
     }
 
     /**
      * Learns from a decode.
      *
-     * @param tokens tokens generated
+     * @param tokens tokens generated after the first
      * @param elapsedNanos time from the first to the last of them
      * @param meanBatch mean number of requests that decoded at the same time, at least 1
      */
@@ -83,28 +74,12 @@
         if (tokens <= 0 || elapsedNanos <= 0) {
             return;
         }
-        double observed = elapsedNanos / (tokens * Math.max(1, meanBatch));
-        Coefficients old = coefficients;
-        double decode = old.decodeNanos() + DECODE_WEIGHT * (observed - old.decodeNanos());
-        coefficients = new Coefficients(old.linearNanos(), old.quadraticNanos(), decode);
-    }
-
-    private void accumulate(double count, double x, double y) {
-        weight += count;
-        sumX += count * x;
-        sumXx += count * x * x;
-        sumY += count * y;
-        sumXy += count * x * y;
+        decode.observe(Math.max(1, meanBatch), (double) elapsedNanos / tokens);
+        publish();
     }
 
-    private void fit() {
-        double determinant = weight * sumXx - sumX * sumX;
-        if (determinant <= 1e-9 * weight * sumXx) {
-            return;
-        }
-        double slope = Math.max(0, (weight * sumXy - sumX * sumY) / determinant);
-        double intercept = Math.max(0, (sumY - slope * sumX) / weight);
-        coefficients = new Coefficients(intercept, slope, coefficients.decodeNanos());
+    private void publish() {
+        coefficients = new Coefficients(prefill.intercept(), prefill.slope(), decode.slope());
     }
 
     /**
@@ -116,6 +91,6 @@
      */
     public record Coefficients(double linearNanos, double quadraticNanos, double decodeNanos) {
         /** Coefficients used until engines were observed. */
-        public static final Coefficients DEFAULT = new Coefficients(25_000, 0.1, 1_000_000);
+        public static final Coefficients DEFAULT = new Coefficients(40_000, 0.2, 500_000);
     }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingRequest.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingRequest.java
@@ -11,14 +11,16 @@
  * @param maxTokens most tokens to generate; 0 for a plain service
  * @param prefixKey hash of the part of the prompt that is likely to be shared, such as the system message, or {@link
  *     #NO_PREFIX}
+ * @param prefixTokens estimated length of that part in tokens
  */
-public record RoutingRequest(TargetKind kind, String name, long promptTokens, long maxTokens, long prefixKey) {
+public record RoutingRequest(
+        TargetKind kind, String name, long promptTokens, long maxTokens, long prefixKey, long prefixTokens) {
     /** Prefix key of a request whose prefix is not known. */
     public static final long NO_PREFIX = 0;
 
     /** Makes a request whose prefix is not known. */
     public RoutingRequest(TargetKind kind, String name, long promptTokens, long maxTokens) {
-        this(kind, name, promptTokens, maxTokens, NO_PREFIX);
+        this(kind, name, promptTokens, maxTokens, NO_PREFIX, 0);
     }
 
     /** Returns the KV memory that the request can need, in tokens. */
