--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/claim/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * At-most-once execution of non-idempotent calls: a partitioned claim log in the platform's object API.
+ *
+ * <p>{@link ClaimLog} is the entry point. The protocol and its assumptions are described in {@code docs/claims.md}.
+ */
+package io.endiveshed.coordination.claim;
