Check that the claim log recovers after faults

Cause: the history test checked safety only; a log that refuses every claim after an outage would have passed. Conclusion: no claim stays held by a live sidecar that gave it up.

--- a/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimHistory.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimHistory.java
@@ -14,6 +14,9 @@
     private final Map<ClaimKey, List<AttemptId>> executions = new HashMap<>();
     private final Map<AttemptId, Reply> replies = new HashMap<>();
     private final Map<AttemptId, ClaimKey> asked = new HashMap<>();
+    private final Set<ClaimKey> free = new HashSet<>();
+    private final Set<ClaimKey> held = new HashSet<>();
+    private boolean unusable;
 
     /** What a caller is told. */
     sealed interface Reply {
@@ -57,6 +60,17 @@
         replies.putIfAbsent(attempt, reply);
     }
 
+    /** Records what a healthy sidecar decides about a key after the last fault. */
+    void decidedAfterFaults(ClaimKey key, ClaimDecision decision, boolean heldByLiveSidecar) {
+        if (decision instanceof ClaimDecision.Unavailable) {
+            unusable = true;
+        } else if (decision instanceof ClaimDecision.Granted) {
+            free.add(key);
+        } else if (heldByLiveSidecar) {
+            held.add(key);
+        }
+    }
+
     long count(Class<? extends Reply> type) {
         return replies.values().stream().filter(type::isInstance).count();
     }
@@ -68,6 +82,12 @@
     /** Returns what violates a guarantee; empty if nothing does. */
     Set<String> violations() {
         Set<String> found = new HashSet<>();
+        if (unusable) {
+            found.add("log not usable after the faults");
+        }
+        if (held.stream().anyMatch(key -> !free.contains(key) && !executions.containsKey(key))) {
+            found.add("claim held in vain");
+        }
         executions.forEach((key, attempts) -> {
             if (attempts.size() > 1) {
                 found.add("executed twice");
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimHistoryTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimHistoryTest.java
@@ -40,6 +40,7 @@
         "STORE_IGNORES_CONDITIONS, executed twice",
         "NOT_RUN_WITHOUT_REVOKE, not_run but executed",
         "ANSWERS_WITH_OWN_ATTEMPT, answer of no execution",
+        "CLAIM_KEPT, claim held in vain",
         "NO_DEADLINE, no reply"
     })
     void plantedDefectIsFound(Defect defect, String violation) {
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimSimulation.java
@@ -57,6 +57,8 @@
         NOT_RUN_WITHOUT_REVOKE,
         /** The sidecar answers a repeated key with the repeated attempt's own answer. */
         ANSWERS_WITH_OWN_ATTEMPT,
+        /** Sidecars never give back a claim. */
+        CLAIM_KEPT,
         /** The entry waits for the sidecar without a deadline. */
         NO_DEADLINE
     }
@@ -77,11 +79,38 @@
             time.afterMillis(random.nextInt(1_500), () -> store.outage(false));
         });
         time.run(Duration.ofMillis(FAULT_MILLIS).plus(SETTLE));
+        store.faults(FakeObjectStore.Faults.NONE);
+        for (int number = 0; number < KEYS; number++) {
+            for (SimulatedSidecar sidecar : sidecars) {
+                askAgain(sidecar, number);
+            }
+        }
+        time.run(SETTLE);
         return history;
     }
 
+    /** Checks that the log is usable after the faults and that no live sidecar holds a claim that it gave up. */
+    private void askAgain(SimulatedSidecar sidecar, int number) {
+        sidecar.log()
+                .claim(key(number), new AttemptId(RequestId.random(random), 1), digest(number), SETTLE)
+                .thenAccept(decision -> history.decidedAfterFaults(key(number), decision, isHeldByLive(decision)));
+    }
+
+    private boolean isHeldByLive(ClaimDecision decision) {
+        return decision instanceof ClaimDecision.Held held
+                && sidecars.stream().anyMatch(sidecar -> sidecar.incarnation().equals(held.holder()));
+    }
+
+    private static ClaimKey key(int number) {
+        return new ClaimKey(new ClientAccountId("ferry"), SERVICE, new IdempotencyKey("key-" + number));
+    }
+
+    private static byte[] digest(int number) {
+        return new byte[] {(byte) number};
+    }
+
     private SimulatedSidecar newSidecar() {
-        return new SimulatedSidecar(time, random, store, SERVICE, settings, history);
+        return new SimulatedSidecar(time, random, store, SERVICE, settings, history, defect != Defect.CLAIM_KEPT);
     }
 
     private void replaceOne() {
@@ -98,7 +127,7 @@
         int number = random.nextInt(KEYS);
         ClaimKey key = new ClaimKey(new ClientAccountId("ferry"), SERVICE, new IdempotencyKey("key-" + number));
         AttemptId attempt = new AttemptId(RequestId.random(random), 1);
-        byte[] digest = {(byte) (random.nextInt(20) == 0 ? 100 : number)};
+        byte[] digest = digest(random.nextInt(20) == 0 ? 100 : number);
         history.asked(key, attempt);
         SimulatedSidecar sidecar = any();
         // One dispatch in ten arrives after the deadline of its call.
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/FakeObjectStore.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/FakeObjectStore.java
@@ -20,7 +20,7 @@
 final class FakeObjectStore implements ObjectStore {
     private final VirtualTime time;
     private final RandomGenerator random;
-    private final Faults faults;
+    private Faults faults;
     private final TreeMap<String, StoredObject> objects = new TreeMap<>();
     private long version;
     private boolean outage;
@@ -47,6 +47,10 @@
         static final Faults NONE = new Faults(0, 0, 3, 0);
     }
 
+    void faults(Faults value) {
+        faults = value;
+    }
+
     void outage(boolean value) {
         outage = value;
     }
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/SimulatedSidecar.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/SimulatedSidecar.java
@@ -22,6 +22,8 @@
     private final RandomGenerator random;
     private final ClaimHistory history;
     private final ClaimLog log;
+    private final Incarnation incarnation;
+    private final boolean givesBack;
     private boolean crashed;
     private long pausedUntilMillis;
 
@@ -31,7 +33,10 @@
             ObjectStore store,
             ServiceName service,
             ClaimSettings settings,
-            ClaimHistory history) {
+            ClaimHistory history,
+            boolean givesBack) {
+        this.givesBack = givesBack;
+        this.incarnation = Incarnation.random(random);
         this.time = time;
         this.random = random;
         this.history = history;
@@ -44,7 +49,7 @@
                         time,
                         time,
                         random,
-                        Incarnation.random(random)));
+                        incarnation));
     }
 
     void crash() {
@@ -59,6 +64,10 @@
         pausedUntilMillis = time.time() + millis;
     }
 
+    Incarnation incarnation() {
+        return incarnation;
+    }
+
     ClaimLog log() {
         return log;
     }
@@ -79,8 +88,10 @@
     }
 
     private void run(ClaimKey key, AttemptId attempt, Consumer<ClaimHistory.Reply> reply) {
-        if (!log.start(attempt)) {
-            log.drop(key, attempt);
+        if (!log.start(attempt) || !givesBack) {
+            if (givesBack) {
+                log.drop(key, attempt);
+            }
             reply.accept(new ClaimHistory.Reply.NotRun());
             return;
         }
