--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
@@ -0,0 +1,127 @@
+package io.endiveshed.net.platform;
+
+import io.endiveshed.base.time.Scheduler;
+import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.platform.internal.PlatformCall;
+import io.endiveshed.ports.platform.InstanceList;
+import io.endiveshed.ports.platform.ListedInstance;
+import io.endiveshed.ports.platform.ObjectKey;
+import io.endiveshed.ports.platform.ObjectStore;
+import io.endiveshed.ports.platform.ObjectVersion;
+import io.endiveshed.ports.platform.StoreError;
+import io.endiveshed.ports.platform.StoredObject;
+import io.endiveshed.ports.platform.WatchBatch;
+import io.endiveshed.protocol.Header;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+/**
+ * The platform over HTTP; {@link PlatformPaths} describes the calls.
+ *
+ * <pre>{@code
+ * HttpPlatform platform = new HttpPlatform(new HttpClient(loops, address), scheduler, Duration.ofSeconds(2));
+ * platform.get(new ObjectKey("lease", "weights-1")).thenAccept(...);
+ * }</pre>
+ */
+public final class HttpPlatform implements ObjectStore, InstanceList {
+    private static final byte[] NO_BODY = {};
+    private static final Header JSON = new Header("content-type", "application/json");
+
+    private final HttpClient client;
+    private final Scheduler scheduler;
+    private final Duration callTimeout;
+
+    /** Makes an adapter whose calls fail after a time; a watch has this time in addition to its own. */
+    public HttpPlatform(HttpClient client, Scheduler scheduler, Duration callTimeout) {
+        this.client = Objects.requireNonNull(client);
+        this.scheduler = Objects.requireNonNull(scheduler);
+        this.callTimeout = Objects.requireNonNull(callTimeout);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, Optional<StoredObject>>> get(ObjectKey key) {
+        return read(
+                        PlatformPaths.object(key.kind(), key.name()),
+                        callTimeout,
+                        body -> Optional.of(PlatformJson.readObject(body)))
+                .thenApply(result -> result.fold(
+                        status -> status == PlatformCall.NOT_FOUND
+                                ? Either.right(Optional.empty())
+                                : error(status, false),
+                        Either::right));
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, List<StoredObject>>> list(String kind, String namePrefix) {
+        return read(PlatformPaths.list(kind, namePrefix), callTimeout, PlatformJson::readObjects)
+                .thenApply(HttpPlatform::readError);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, ObjectVersion>> create(ObjectKey key, byte[] value) {
+        return put(key, new Header(PlatformPaths.IF_NONE_MATCH, "*"), value);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, ObjectVersion>> update(
+            ObjectKey key, ObjectVersion expected, byte[] value) {
+        return put(key, new Header(PlatformPaths.IF_MATCH, "\"" + expected.value() + "\""), value);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, WatchBatch>> watch(String kind, ObjectVersion after, Duration timeout) {
+        return read(
+                        PlatformPaths.watch(kind, after.value(), timeout),
+                        timeout.plus(callTimeout),
+                        PlatformJson::readBatch)
+                .thenApply(HttpPlatform::readError);
+    }
+
+    @Override
+    public CompletionStage<Either<StoreError, List<ListedInstance>>> instances() {
+        return read(PlatformPaths.INSTANCES, callTimeout, PlatformJson::readInstances)
+                .thenApply(HttpPlatform::readError);
+    }
+
+    /** Closes idle connections. */
+    public void stop() {
+        client.stop();
+    }
+
+    private <T> CompletionStage<Either<Integer, T>> read(String path, Duration timeout, Function<byte[], T> reader) {
+        return new PlatformCall<>(reader).send(client, scheduler, timeout, "GET", path, List.of(), NO_BODY);
+    }
+
+    private CompletionStage<Either<StoreError, ObjectVersion>> put(ObjectKey key, Header condition, byte[] value) {
+        return new PlatformCall<>(PlatformJson::readVersion)
+                .send(
+                        client,
+                        scheduler,
+                        callTimeout,
+                        "PUT",
+                        PlatformPaths.object(key.kind(), key.name()),
+                        List.of(JSON, condition),
+                        PlatformJson.value(value))
+                .thenApply(result -> result.fold(status -> error(status, true), Either::right));
+    }
+
+    private static <T> Either<StoreError, T> readError(Either<Integer, T> result) {
+        return result.fold(status -> error(status, false), Either::right);
+    }
+
+    private static <T> Either<StoreError, T> error(int status, boolean write) {
+        return Either.left(
+                switch (status) {
+                    case 412 -> StoreError.CONFLICT;
+                    case 410 -> StoreError.TOO_OLD;
+                    case 413 -> StoreError.TOO_LARGE;
+                    case PlatformCall.NOT_SENT, PlatformCall.NOT_FOUND, 400, 429, 503 -> StoreError.UNAVAILABLE;
+                    default -> write ? StoreError.UNKNOWN : StoreError.UNAVAILABLE;
+                });
+    }
+}
