Read the settings of entries and sidecars from YAML files

Cause: EntrySettings and SidecarSettings could only be built in code, so neither daemon could be started by an operator.

EntrySettingsFile and SidecarSettingsFile validate a file as a whole and name each fault with file, line and remedy. Addresses are IP:port only, so that no process depends on a name service. The link secret may be in a file of its own. Examples are in docs/examples and are read by the tests.

Before: no files.

--- a/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -7,6 +7,7 @@
 import io.endiveshed.net.link.LinkSecret;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 
 /** Settings of an entry daemon. */
 public final class EntrySettings {
@@ -17,6 +18,7 @@
     private final InetSocketAddress linkAddress;
     private final LinkSecret linkSecret;
     private final HttpServerLimits limits;
+    private final Optional<InetSocketAddress> platformAddress;
 
     private EntrySettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -26,6 +28,7 @@
         this.linkAddress = Objects.requireNonNull(builder.linkAddress, "linkAddress");
         this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
         this.limits = builder.limits;
+        this.platformAddress = Optional.ofNullable(builder.platformAddress);
     }
 
     /** Starts settings. */
@@ -68,6 +71,11 @@
         return limits;
     }
 
+    /** Returns the address of the platform's object API, if the daemon uses it. */
+    public Optional<InetSocketAddress> platformAddress() {
+        return platformAddress;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -77,6 +85,7 @@
         private InetSocketAddress linkAddress;
         private LinkSecret linkSecret;
         private HttpServerLimits limits = HttpServerLimits.defaults();
+        private InetSocketAddress platformAddress;
 
         private Builder() {}
 
@@ -122,6 +131,12 @@
             return this;
         }
 
+        /** Sets the address of the platform's object API. */
+        public Builder platformAddress(InetSocketAddress value) {
+            this.platformAddress = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public EntrySettings build() {
             return new EntrySettings(this);
--- /dev/null
+++ b/entry/src/test/java/io/endiveshed/entry/EntrySettingsFileTest.java
@@ -0,0 +1,49 @@
+package io.endiveshed.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.settings.SettingsError;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards that a daemon never starts from a file that it did not understand as a whole. */
+final class EntrySettingsFileTest {
+    @TempDir
+    private Path directory;
+
+    @Test
+    void readsTheExample() throws IOException {
+        Files.writeString(directory.resolve("link"), "a-long-secret\n");
+        String example = Files.readString(Path.of("../docs/examples/entry.yaml"))
+                .replace("/run/secrets/link", directory.resolve("link").toString());
+        EntrySettings settings = EntrySettingsFile.read(file(example)).get();
+        assertThat(settings.instance().value()).isEqualTo("entry-1");
+        assertThat(settings.platformAddress().orElseThrow().getPort()).isEqualTo(9000);
+        assertThat(settings.limits().bodyTimeout()).isEqualTo(Duration.ofSeconds(30));
+        assertThat(settings.limits().maxBodyBytes()).isEqualTo(16 * 1024 * 1024);
+    }
+
+    @Test
+    void reportsAllFaults() throws IOException {
+        List<SettingsError> errors = EntrySettingsFile.read(file("""
+                        instance: -x
+                        region: north
+                        callers: host:80
+                        links: 127.0.0.1:70000
+                        link-secret: short
+                        limits:
+                          max-body: 1TiB
+                          colour: red
+                        """)).getLeft();
+        assertThat(errors.stream().map(SettingsError::line)).containsExactly(1, 1, 5, 3, 4, 7, 8, 1);
+    }
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(directory.resolve("entry.yaml"), text);
+    }
+}
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /** Settings of a sidecar. */
 public final class SidecarSettings {
@@ -24,6 +25,7 @@
     private final LinkSecret linkSecret;
     private final long kvCapacityTokens;
     private final int maxRunning;
+    private final Optional<InetSocketAddress> platformAddress;
 
     private SidecarSettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -36,6 +38,7 @@
         this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
         this.kvCapacityTokens = builder.kvCapacityTokens;
         this.maxRunning = builder.maxRunning;
+        this.platformAddress = Optional.ofNullable(builder.platformAddress);
     }
 
     /** Starts settings. */
@@ -93,6 +96,11 @@
         return maxRunning;
     }
 
+    /** Returns the address of the platform's object API, if the sidecar uses it. */
+    public Optional<InetSocketAddress> platformAddress() {
+        return platformAddress;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -105,6 +113,7 @@
         private LinkSecret linkSecret;
         private long kvCapacityTokens;
         private int maxRunning = DEFAULT_MAX_RUNNING;
+        private InetSocketAddress platformAddress;
 
         private Builder() {}
 
@@ -168,6 +177,12 @@
             return this;
         }
 
+        /** Sets the address of the platform's object API. */
+        public Builder platformAddress(InetSocketAddress value) {
+            this.platformAddress = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public SidecarSettings build() {
             return new SidecarSettings(this);
--- /dev/null
+++ b/sidecar/src/test/java/io/endiveshed/sidecar/SidecarSettingsFileTest.java
@@ -0,0 +1,56 @@
+package io.endiveshed.sidecar;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.settings.SettingsError;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards that a sidecar never starts from a file that it did not understand as a whole. */
+final class SidecarSettingsFileTest {
+    @TempDir
+    private Path directory;
+
+    @Test
+    void readsTheExample() throws IOException {
+        Files.writeString(directory.resolve("link"), "a-long-secret\n");
+        String example = Files.readString(Path.of("../docs/examples/sidecar.yaml"))
+                .replace("/run/secrets/link", directory.resolve("link").toString());
+        SidecarSettings settings = SidecarSettingsFile.read(file(example)).get();
+        assertThat(settings.targetKind()).isEqualTo(TargetKind.ENGINE);
+        assertThat(settings.serves()).containsExactly("tsehay-llm");
+        assertThat(settings.kvCapacityTokens()).isEqualTo(4_000_000);
+        assertThat(settings.entries()).hasSize(1);
+    }
+
+    @Test
+    void reportsAllFaults() throws IOException {
+        List<SettingsError> errors = SidecarSettingsFile.read(file("""
+                        instance: a
+                        region: north
+                        failure-domain: north-a
+                        link-secret: long-enough
+                        target:
+                          kind: engine
+                          address: 127.0.0.1:8000
+                          max-running: 0
+                          serves: ["/x"]
+                        """)).getLeft();
+        assertThat(errors.stream().map(SettingsError::found))
+                .containsExactly(
+                        "neither \"entries\" nor \"platform\" is given",
+                        "found \"/x\" for \"target.serves\"",
+                        "\"target.kv-capacity-tokens\" is missing",
+                        "found \"0\" for \"target.max-running\"")
+                .inOrder();
+    }
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(directory.resolve("sidecar.yaml"), text);
+    }
+}
