--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationJson.java
@@ -0,0 +1,142 @@
+package io.endiveshed.coordination.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import io.endiveshed.base.id.ClientAccountId;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.ModelName;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.base.id.ServiceName;
+import java.time.DayOfWeek;
+import java.time.Duration;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** JSON forms of the records of a configuration. The order of the fields is fixed, so that equal records are equal bytes. */
+final class ConfigurationJson {
+    private ConfigurationJson() {}
+
+    static JsonObject account(AccountConfig account) {
+        JsonObject tree = new JsonObject();
+        tree.addProperty("id", account.id().value());
+        tree.add("keys", texts(account.keyHashes()));
+        tree.addProperty("weight", account.weight());
+        tree.addProperty("priority", account.priority());
+        tree.addProperty("requestsPerSecond", account.limits().requestsPerSecond());
+        tree.addProperty("tokensPerMinute", account.limits().tokensPerMinute());
+        tree.addProperty("maxOutstanding", account.limits().maxOutstanding());
+        tree.add("allowed", texts(account.allowed()));
+        return tree;
+    }
+
+    static AccountConfig readAccount(JsonObject tree) {
+        return new AccountConfig(
+                new ClientAccountId(tree.get("id").getAsString()),
+                readTexts(tree, "keys"),
+                tree.get("weight").getAsInt(),
+                tree.get("priority").getAsInt(),
+                new AccountLimits(
+                        tree.get("requestsPerSecond").getAsLong(),
+                        tree.get("tokensPerMinute").getAsLong(),
+                        tree.get("maxOutstanding").getAsLong()),
+                readTexts(tree, "allowed"));
+    }
+
+    static JsonObject model(ModelConfig model) {
+        JsonObject tree = new JsonObject();
+        tree.addProperty("name", model.name().value());
+        tree.addProperty("deadlineMs", model.defaultDeadline().toMillis());
+        tree.add("offerings", array(model.offerings(), ConfigurationJson::offering));
+        tree.addProperty("engineChecksTokens", model.engineChecksTokens());
+        return tree;
+    }
+
+    static ModelConfig readModel(JsonObject tree) {
+        return new ModelConfig(
+                new ModelName(tree.get("name").getAsString()),
+                Duration.ofMillis(tree.get("deadlineMs").getAsLong()),
+                readArray(tree, "offerings", ConfigurationJson::readOffering),
+                tree.get("engineChecksTokens").getAsBoolean());
+    }
+
+    static JsonObject service(ServiceConfig service) {
+        JsonObject tree = new JsonObject();
+        tree.addProperty("name", service.name().value());
+        tree.add("nonRepeatableRoutes", texts(service.nonRepeatableRoutes()));
+        tree.addProperty("deadlineMs", service.defaultDeadline().toMillis());
+        tree.add("offerings", array(service.offerings(), ConfigurationJson::offering));
+        tree.addProperty("keyRetentionMs", service.keyRetention().toMillis());
+        return tree;
+    }
+
+    static ServiceConfig readService(JsonObject tree) {
+        return new ServiceConfig(
+                new ServiceName(tree.get("name").getAsString()),
+                readTexts(tree, "nonRepeatableRoutes"),
+                Duration.ofMillis(tree.get("deadlineMs").getAsLong()),
+                readArray(tree, "offerings", ConfigurationJson::readOffering),
+                Duration.ofMillis(tree.get("keyRetentionMs").getAsLong()));
+    }
+
+    static <T> JsonArray array(Collection<T> items, Function<T, JsonObject> form) {
+        JsonArray array = new JsonArray();
+        items.forEach(item -> array.add(form.apply(item)));
+        return array;
+    }
+
+    static <T> List<T> readArray(JsonObject tree, String field, Function<JsonObject, T> form) {
+        List<T> items = new ArrayList<>();
+        for (JsonElement element : tree.getAsJsonArray(field)) {
+            items.add(form.apply(element.getAsJsonObject()));
+        }
+        return items;
+    }
+
+    static JsonArray texts(Collection<String> texts) {
+        JsonArray array = new JsonArray();
+        texts.forEach(array::add);
+        return array;
+    }
+
+    static List<String> readTexts(JsonObject tree, String field) {
+        List<String> texts = new ArrayList<>();
+        tree.getAsJsonArray(field).forEach(element -> texts.add(element.getAsString()));
+        return texts;
+    }
+
+    private static JsonObject offering(Offering offering) {
+        JsonObject tree = new JsonObject();
+        tree.addProperty("region", offering.region().value());
+        tree.addProperty("failureDomain", offering.failureDomain().value());
+        tree.addProperty("zone", offering.hours().zone().getId());
+        tree.add(
+                "days",
+                texts(offering.hours().days().stream()
+                        .sorted()
+                        .map(DayOfWeek::name)
+                        .toList()));
+        tree.addProperty("opens", offering.hours().opens().toString());
+        tree.addProperty("closes", offering.hours().closes().toString());
+        return tree;
+    }
+
+    private static Offering readOffering(JsonObject tree) {
+        Set<DayOfWeek> days = new LinkedHashSet<>();
+        readTexts(tree, "days").forEach(day -> days.add(DayOfWeek.valueOf(day)));
+        return new Offering(
+                new Region(tree.get("region").getAsString()),
+                new FailureDomain(tree.get("failureDomain").getAsString()),
+                new OpeningHours(
+                        ZoneId.of(tree.get("zone").getAsString()),
+                        days,
+                        LocalTime.parse(tree.get("opens").getAsString()),
+                        LocalTime.parse(tree.get("closes").getAsString())));
+    }
+}
