--- a/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 /** Settings of an entry daemon. */
 public final class EntrySettings {
@@ -25,6 +26,7 @@
     private final HttpServerLimits limits;
     private final Duration stopGrace;
     private final OpeningHours openingHours;
+    private final Optional<InetSocketAddress> platformAddress;
 
     private EntrySettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -36,6 +38,7 @@
         this.limits = builder.limits;
         this.stopGrace = builder.stopGrace;
         this.openingHours = builder.openingHours;
+        this.platformAddress = Optional.ofNullable(builder.platformAddress);
     }
 
     /** Starts settings. */
@@ -93,6 +96,11 @@
         return openingHours;
     }
 
+    /** Returns the address of the platform's object API, if the daemon uses it. */
+    public Optional<InetSocketAddress> platformAddress() {
+        return platformAddress;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -104,6 +112,7 @@
         private HttpServerLimits limits = HttpServerLimits.defaults();
         private Duration stopGrace = DEFAULT_STOP_GRACE;
         private OpeningHours openingHours = OpeningHours.ALWAYS;
+        private InetSocketAddress platformAddress;
 
         private Builder() {}
 
@@ -161,6 +170,12 @@
             return this;
         }
 
+        /** Sets the address of the platform's object API. */
+        public Builder platformAddress(InetSocketAddress value) {
+            this.platformAddress = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public EntrySettings build() {
             return new EntrySettings(this);
