--- a/coordination/src/main/java/io/endiveshed/coordination/membership/EntryMesh.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/membership/EntryMesh.java
@@ -57,9 +57,13 @@
         unusableSince.keySet().retainAll(known.keySet());
     }
 
-    /** Records that an entry could not be reached for a while, or announced that it leaves. */
-    public void unusable(InstanceId entry) {
-        unusableSince.put(entry, clock.nanoTime());
+    /**
+     * Records that an entry could not be reached for a while, or announced that it leaves.
+     *
+     * @return whether it was usable before
+     */
+    public boolean unusable(InstanceId entry) {
+        return unusableSince.put(entry, clock.nanoTime()) == null;
     }
 
     /** Records that a link to an entry works. */
--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -48,7 +48,8 @@
 
     /**
      * Time in which connections are still accepted and requests refused before the listener closes, so that load
-     * balancers and callers with open connections learn from an answer that this entry stops.
+     * balancers and callers with open connections learn from an answer that this entry stops. A connection closes
+     * without an answer only after it was idle for as long, because a request may be on its way.
      */
     private static final Duration LAME_DUCK = Duration.ofMillis(500);
 
@@ -56,7 +57,7 @@
     private static final long LIST_INTERVAL_SECONDS = 2;
 
     private static final long HOURS_INTERVAL_MILLIS = 1_000;
-    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /** Time to write the last answers after the grace period. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
@@ -140,11 +141,9 @@
         gate.drain();
         callers.drain();
         sidecars.announceLeaving(settings.stopGrace());
-        if (callers.openConnections() > 0) {
-            await(() -> false, start, LAME_DUCK);
-        }
+        await(() -> false, start, LAME_DUCK);
         callers.stop();
-        callers.closeIdle();
+        awaitRegistrations();
         await(this::isDrained, start, settings.stopGrace());
         gate.failRemaining();
         await(this::isDrained, System.nanoTime(), CLOSE_TIMEOUT);
@@ -159,7 +158,13 @@
         return loops.isTerminated();
     }
 
+    /** Waits until accepted connections are registered; one that is not would stay open without being served. */
+    private void awaitRegistrations() {
+        loops.forEach(loop -> loop.submit(() -> {}).syncUninterruptibly());
+    }
+
     private boolean isDrained() {
+        callers.closeIdle(LAME_DUCK);
         return gate.isIdle() && callers.openConnections() == 0;
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 
 /**
  * HTTP server that hands whole requests to a handler.
@@ -69,9 +70,9 @@
         connections.drain();
     }
 
-    /** Closes the connections that neither run nor receive a request; {@link #drain} must have been called. */
-    public void closeIdle() {
-        connections.closeIdle();
+    /** Closes the connections that for the given time have neither run nor received a request. */
+    public void closeIdle(Duration idle) {
+        connections.closeIdle(idle);
     }
 
     /** Returns the number of open connections. */
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -45,6 +45,7 @@
     private ChannelResponseSink running;
     private ScheduledFuture<?> timeout;
     private boolean closing;
+    private long idleSinceNanos;
 
     /** Makes the handler of one connection. */
     public ServerConnection(HttpServerLimits limits, HttpHandler handler, ServerConnections connections) {
@@ -56,6 +57,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        idleSinceNanos = System.nanoTime();
         connections.add(ctx.channel());
         startTimeout(ctx, limits.headerTimeout().toMillis(), "header section");
     }
@@ -76,7 +78,10 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ServerConnections.CLOSE_IF_IDLE && running == null && request == null) {
+        if (event instanceof ServerConnections.CloseIfIdle close
+                && running == null
+                && request == null
+                && System.nanoTime() - idleSinceNanos >= close.idle().toNanos()) {
             ctx.close();
         }
     }
@@ -163,6 +168,7 @@
 
     private void finished(ChannelHandlerContext ctx, boolean keptOpen) {
         running = null;
+        idleSinceNanos = System.nanoTime();
         // A pipelined request after a response that closes the connection is not run: its answer could not be sent.
         closing = !keptOpen;
         if (closing || !ctx.channel().isActive()) {
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnections.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnections.java
@@ -4,11 +4,16 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.time.Duration;
 
 /** The open connections of one server. */
 public final class ServerConnections {
-    /** Event that closes a connection if it is idle. */
-    static final Object CLOSE_IF_IDLE = new Object();
+    /**
+     * Event that closes a connection if it has been idle.
+     *
+     * @param idle time without a request
+     */
+    record CloseIfIdle(Duration idle) {}
 
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean draining;
@@ -28,9 +33,10 @@
         draining = true;
     }
 
-    /** Closes the connections that neither run nor receive a request. */
-    public void closeIdle() {
-        channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(CLOSE_IF_IDLE));
+    /** Closes the connections that for the given time have neither run nor received a request. */
+    public void closeIdle(Duration idle) {
+        CloseIfIdle event = new CloseIfIdle(idle);
+        channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(event));
     }
 
     /** Returns the number of open connections. */
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLinks.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLinks.java
@@ -113,8 +113,9 @@
     }
 
     private synchronized void entryLeaves(ListedInstance entry) {
-        Logger.info("entry {} leaves", entry.id());
-        mesh.unusable(entry.id());
+        if (mesh.unusable(entry.id())) {
+            Logger.info("entry {} leaves", entry.id());
+        }
     }
 
     private void observe() {
@@ -122,11 +123,17 @@
         pairs.forEach((address, pair) -> {
             pair.observe(now);
             if (pair.isDownFor(UNREACHABLE, now)) {
-                mesh.unusable(address.entry.id());
+                entryUnreachable(address.entry);
             }
         });
     }
 
+    private void entryUnreachable(ListedInstance entry) {
+        if (mesh.unusable(entry.id())) {
+            Logger.info("entry {} cannot be reached at {}:{}", entry.id(), entry.host(), entry.port());
+        }
+    }
+
     /** Closes links that are not wanted, those that work only when all wanted ones do and after a while without calls. */
     private void closeSurplus(Set<Address> wanted) {
         long now = System.nanoTime();
