--- a/coordination/src/main/java/io/endiveshed/coordination/membership/EntrySelection.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/membership/EntrySelection.java
@@ -32,8 +32,7 @@
      * the own region and a quarter from other regions. Places that a distance cannot fill go to the nearest others.
      */
     public List<ListedInstance> choose(Collection<ListedInstance> candidates) {
-        List<ListedInstance> ranked = new ArrayList<>(candidates);
-        ranked.sort(Comparator.comparingLong(this::weight).reversed().thenComparing(ListedInstance::id));
+        List<ListedInstance> ranked = ranked(candidates);
         Set<ListedInstance> chosen = new LinkedHashSet<>();
         List<ListedInstance> left = new ArrayList<>();
         for (Distance distance : Distance.values()) {
@@ -53,10 +52,17 @@
         return List.copyOf(chosen);
     }
 
-    private long weight(ListedInstance entry) {
-        return RendezvousHash.weight(sidecar.value(), entry.id().value());
+    private List<ListedInstance> ranked(Collection<ListedInstance> candidates) {
+        return candidates.stream()
+                .map(entry -> new Ranked(
+                        RendezvousHash.weight(sidecar.value(), entry.id().value()), entry))
+                .sorted(Comparator.comparingLong(Ranked::weight).reversed().thenComparing(ranked -> ranked.entry.id()))
+                .map(Ranked::entry)
+                .toList();
     }
 
+    private record Ranked(long weight, ListedInstance entry) {}
+
     private Distance distance(ListedInstance entry) {
         if (!entry.region().equals(place.region())) {
             return Distance.ELSEWHERE;
