Bound what hostile callers and peers can cost

Cause: a header section after the first request of a connection had no time limit, a body had one limit of 30 s whatever its length, 16 MiB were taken for a mere Content-Length, bodies of all callers together were unbounded, a rejection could be lost in a connection reset, and a peer of a link that trickled bytes kept it open without a handshake.

Change: the header limit runs from the first byte of each request; bodies must keep 8 KiB/s in each 10 s; held bodies are bounded at 256 MiB; a rejection lingers 2 s so that the caller reads it; a handshake has 5 s and at most 2,048 are open; max_tokens has an upper bound. Rejections, malformed frames and late handshakes are counted. The engine stand-in waits for its reader before the next streamed token.

Conclusion: each case has a bound, a typed error, a counter and a test, but for TLS, which is not started.

--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -57,8 +57,8 @@
                 sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
         sidecars.callMessages(dispatcher);
         CallerApi api = new CallerApi(blackboard, dispatcher, parsers);
-        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), api);
-        this.links = new LinkServer(loops, settings.linkAddress(), sidecars);
+        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), api, metrics);
+        this.links = new LinkServer(loops, settings.linkAddress(), sidecars, metrics);
     }
 
     /** Starts to accept links and callers. */
--- a/entry/src/main/java/io/endiveshed/entry/internal/CompletionBody.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CompletionBody.java
@@ -29,6 +29,9 @@
     /** Tokens generated for a request that names no limit. */
     static final long DEFAULT_MAX_TOKENS = 256;
 
+    /** Largest limit that a request may name; ten times the longest prompt, and sums of it cannot overflow. */
+    static final long MAX_MAX_TOKENS = 10_000_000;
+
     /** Parses and checks a body; throws {@link FailureException} that says what is wrong. */
     static CompletionBody parse(byte[] body) {
         try (JsonReader reader = reader(body)) {
@@ -71,8 +74,8 @@
         if (model == null) {
             throw invalid("the field \"model\" is missing");
         }
-        if (maxTokens < 1) {
-            throw invalid("\"max_tokens\" must be at least 1, but was " + maxTokens);
+        if (maxTokens < 1 || maxTokens > MAX_MAX_TOKENS) {
+            throw invalid("\"max_tokens\" must be 1 to " + MAX_MAX_TOKENS + ", but was " + maxTokens);
         }
         return new CompletionBody(model, maxTokens, streams, Math.max(1, bodyBytes / BYTES_PER_TOKEN));
     }
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -132,6 +132,7 @@
 
     private void accept(Link link, Message.Hello hello) {
         challenged.remove(link);
+        link.established();
         TargetId target = new TargetId(new InstanceId(hello.instance()), hello.incarnation());
         targets.put(link, target);
         Sidecar sidecar = sidecars.compute(target, (id, current) -> {
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -1,6 +1,9 @@
 package io.endiveshed.net.http;
 
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.net.http.internal.ArrivalNotice;
 import io.endiveshed.net.http.internal.ServerConnection;
+import io.endiveshed.net.http.internal.ServerContext;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -27,16 +30,26 @@
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final HttpServerLimits limits;
-    private final HttpHandler handler;
+    private final ServerContext context;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private Channel channel;
 
     /** Makes a server that listens once started. */
     public HttpServer(EventLoopGroup loops, InetSocketAddress address, HttpServerLimits limits, HttpHandler handler) {
+        this(loops, address, limits, handler, new MetricRegistry());
+    }
+
+    /** Makes a server that counts rejected requests in the registry. */
+    public HttpServer(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            HttpServerLimits limits,
+            HttpHandler handler,
+            MetricRegistry registry) {
         this.loops = loops;
         this.address = address;
         this.limits = limits;
-        this.handler = handler;
+        this.context = new ServerContext(limits, handler, registry);
     }
 
     /** Starts to listen. */
@@ -49,12 +62,14 @@
                     @Override
                     protected void initChannel(Channel connection) {
                         connections.add(connection);
+                        ServerConnection handlerOfConnection = new ServerConnection(context);
                         connection
                                 .pipeline()
+                                .addLast(new ArrivalNotice(handlerOfConnection))
                                 .addLast(new HttpServerCodec(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits.maxHeaderBytes())
                                         .setMaxHeaderSize(limits.maxHeaderBytes())))
-                                .addLast(new ServerConnection(limits, handler));
+                                .addLast(handlerOfConnection);
                     }
                 })
                 .bind(address)
--- a/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -23,11 +24,19 @@
     private final ChannelHandlerContext ctx;
     private final boolean keepAlive;
     private final boolean chunked;
+    private final boolean lingers;
     private final Runnable whenFinished;
     private Runnable disconnectAction;
     private boolean finished;
 
     ChannelResponseSink(ChannelHandlerContext ctx, boolean keepAlive, boolean chunked, Runnable whenFinished) {
+        this(ctx, keepAlive, chunked, false, whenFinished);
+    }
+
+    /** Makes a sink; with {@code lingers}, only the output is closed at the end, and the owner closes the rest. */
+    ChannelResponseSink(
+            ChannelHandlerContext ctx, boolean keepAlive, boolean chunked, boolean lingers, Runnable whenFinished) {
+        this.lingers = lingers;
         this.ctx = ctx;
         this.keepAlive = keepAlive;
         this.chunked = chunked;
@@ -100,7 +109,9 @@
 
     private void finish(ChannelFuture written, boolean keepOpen) {
         finished = true;
-        if (!keepOpen) {
+        if (lingers && ctx.channel() instanceof DuplexChannel duplex) {
+            written.addListener(future -> duplex.shutdownOutput());
+        } else if (!keepOpen) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
         whenFinished.run();
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -3,7 +3,6 @@
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.net.http.ErrorResponses;
-import io.endiveshed.net.http.HttpHandler;
 import io.endiveshed.net.http.HttpRequestData;
 import io.endiveshed.net.http.HttpServerLimits;
 import io.netty.buffer.ByteBuf;
@@ -24,6 +23,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -36,34 +36,67 @@
 
     private static final int INITIAL_BODY_BYTES = 1024;
 
+    /** Most bytes taken at once because a header announces them; an announcement costs the caller nothing. */
+    private static final int MAX_ANNOUNCED_BYTES = 64 * 1024;
+
+    /**
+     * Time for which a connection may stay open without a request. It also bounds a header section whose first bytes
+     * came in one packet with the request before, because the codec does not tell that it holds them.
+     */
+    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(1);
+
+    /**
+     * Time for which input is discarded after a rejection. Closing with unread input would reset the connection, and the
+     * caller would lose the error.
+     */
+    private static final Duration LINGER = Duration.ofSeconds(2);
+
+    private final ServerContext shared;
     private final HttpServerLimits limits;
-    private final HttpHandler handler;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private HttpRequest request;
     private ByteArrayOutputStream body;
+    private int bodyAtLastCheck;
+    private long reserved;
     private ChannelResponseSink running;
+    private boolean idle;
+    private boolean rejected;
     private ScheduledFuture<?> timeout;
+    private ChannelHandlerContext context;
 
     /** Makes the handler of one connection. */
-    public ServerConnection(HttpServerLimits limits, HttpHandler handler) {
+    public ServerConnection(ServerContext shared) {
         super(false);
-        this.limits = limits;
-        this.handler = handler;
+        this.shared = shared;
+        this.limits = shared.limits();
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        startTimeout(ctx, limits.headerTimeout().toMillis(), "header section");
+        context = ctx;
+        startTimeout(ctx, limits.headerTimeout(), () -> rejectLate(ctx, "header section", limits.headerTimeout()));
+    }
+
+    /** Notes that bytes have arrived, before they are parsed; a header section is only seen once it is whole. */
+    void bytesArrived() {
+        if (idle) {
+            ChannelHandlerContext ctx = context;
+            idle = false;
+            startTimeout(ctx, limits.headerTimeout(), () -> rejectLate(ctx, "header section", limits.headerTimeout()));
+        }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-        if (running == null) {
+        if (rejected) {
+            ReferenceCountUtil.release(part);
+        } else if (running == null) {
             accept(ctx, part);
         } else if (pipelined.size() < MAX_PIPELINED_PARTS) {
             pipelined.add(part);
         } else {
             ReferenceCountUtil.release(part);
+            shared.countRejected(ErrorKind.INVALID_REQUEST);
             ctx.close();
         }
     }
@@ -76,6 +109,7 @@
         if (running != null) {
             running.disconnected();
         }
+        releaseBody();
     }
 
     @Override
@@ -107,6 +141,7 @@
     }
 
     private void startRequest(ChannelHandlerContext ctx, HttpRequest head) {
+        idle = false;
         long announced = HttpUtil.getContentLength(head, 0L);
         if (announced > limits.maxBodyBytes()) {
             rejectAndClose(ctx, bodyTooLarge());
@@ -117,22 +152,40 @@
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
         request = head;
-        body = new ByteArrayOutputStream(Math.max(INITIAL_BODY_BYTES, (int) announced));
-        startTimeout(ctx, limits.bodyTimeout().toMillis(), "body");
+        body = new ByteArrayOutputStream((int) Math.min(MAX_ANNOUNCED_BYTES, Math.max(INITIAL_BODY_BYTES, announced)));
+        bodyAtLastCheck = 0;
+        cancelTimeout();
     }
 
     private void appendBody(ChannelHandlerContext ctx, HttpContent content) {
         ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > limits.maxBodyBytes()) {
+        int length = bytes.readableBytes();
+        if (body.size() + length > limits.maxBodyBytes()) {
             rejectAndClose(ctx, bodyTooLarge());
             return;
         }
-        byte[] copy = new byte[bytes.readableBytes()];
+        if (!shared.reserve(length)) {
+            rejectAndClose(ctx, bodiesFillMemory());
+            return;
+        }
+        reserved += length;
+        byte[] copy = new byte[length];
         bytes.readBytes(copy);
-        body.write(copy, 0, copy.length);
+        body.write(copy, 0, length);
         if (content instanceof LastHttpContent) {
             run(ctx);
+        } else if (timeout == null) {
+            startTimeout(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
+        }
+    }
+
+    private void checkBodyRate(ChannelHandlerContext ctx) {
+        if (body.size() - bodyAtLastCheck < limits.minBodyBytesPerTimeout()) {
+            rejectLate(ctx, "body", limits.bodyTimeout());
+            return;
         }
+        bodyAtLastCheck = body.size();
+        startTimeout(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
     }
 
     private void run(ChannelHandlerContext ctx) {
@@ -144,17 +197,22 @@
         request = null;
         body = null;
         running = new ChannelResponseSink(ctx, keepAlive, chunked, () -> finished(ctx));
-        handler.handle(data, running);
+        shared.handler().handle(data, running);
     }
 
     private void finished(ChannelHandlerContext ctx) {
         running = null;
+        releaseBody();
         if (!ctx.channel().isActive()) {
             return;
         }
-        while (running == null && !pipelined.isEmpty()) {
+        while (running == null && !rejected && !pipelined.isEmpty()) {
             accept(ctx, pipelined.poll());
         }
+        if (running == null && request == null && !rejected && timeout == null) {
+            idle = true;
+            startTimeout(ctx, IDLE_TIMEOUT, ctx::close);
+        }
     }
 
     private void rejectMalformed(ChannelHandlerContext ctx, Throwable cause) {
@@ -166,12 +224,27 @@
         rejectAndClose(ctx, Failure.of(kind).message(message).build());
     }
 
+    private void rejectLate(ChannelHandlerContext ctx, String what, Duration after) {
+        rejectAndClose(
+                ctx,
+                Failure.of(ErrorKind.REQUEST_TIMEOUT)
+                        .message("the " + what + " was not complete or too slow after " + after.toMillis() + " ms")
+                        .build());
+    }
+
     private void rejectAndClose(ChannelHandlerContext ctx, Failure failure) {
-        cancelTimeout();
+        shared.countRejected(failure.kind());
+        rejected = true;
         request = null;
         body = null;
-        running = new ChannelResponseSink(ctx, false, true, () -> {});
-        ErrorResponses.send(running, failure);
+        releaseBody();
+        ErrorResponses.send(new ChannelResponseSink(ctx, false, true, true, () -> {}), failure);
+        startTimeout(ctx, LINGER, ctx::close);
+    }
+
+    private void releaseBody() {
+        shared.release(reserved);
+        reserved = 0;
     }
 
     private Failure bodyTooLarge() {
@@ -180,12 +253,23 @@
                 .build();
     }
 
-    private void startTimeout(ChannelHandlerContext ctx, long millis, String what) {
-        cancelTimeout();
-        Failure failure = Failure.of(ErrorKind.REQUEST_TIMEOUT)
-                .message("the " + what + " was not complete after " + millis + " ms")
+    private Failure bodiesFillMemory() {
+        return Failure.of(ErrorKind.OVERLOADED)
+                .message("request bodies fill " + limits.maxHeldBodyBytes() + " bytes")
+                .retryAfter(Duration.ofSeconds(1))
                 .build();
-        timeout = ctx.executor().schedule(() -> rejectAndClose(ctx, failure), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void startTimeout(ChannelHandlerContext ctx, Duration after, Runnable action) {
+        cancelTimeout();
+        timeout = ctx.executor()
+                .schedule(
+                        () -> {
+                            timeout = null;
+                            action.run();
+                        },
+                        after.toMillis(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void cancelTimeout() {
--- a/net/src/main/java/io/endiveshed/net/link/Link.java
+++ b/net/src/main/java/io/endiveshed/net/link/Link.java
@@ -13,6 +13,9 @@
     /** Tells whether the link is open; once false, the listener hears of the end or has heard of it. */
     boolean isOpen();
 
+    /** Notes that the peer has proved who it is; a link without that is closed after a few seconds. */
+    void established();
+
     /** Closes the link. */
     void close();
 
--- a/net/src/main/java/io/endiveshed/net/link/LinkDialer.java
+++ b/net/src/main/java/io/endiveshed/net/link/LinkDialer.java
@@ -1,5 +1,7 @@
 package io.endiveshed.net.link;
 
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.net.link.internal.LinkGuard;
 import io.endiveshed.net.link.internal.LinkPipeline;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
@@ -13,6 +15,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
     private final EventLoopGroup loops;
+    private final LinkGuard guard = new LinkGuard(new MetricRegistry());
 
     /** Makes a dialer whose links run on the given event loops. */
     public LinkDialer(EventLoopGroup loops) {
@@ -25,7 +28,7 @@
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new LinkPipeline(listener))
+                .handler(new LinkPipeline(listener, guard))
                 .connect(address)
                 .addListener(future -> {
                     if (!future.isSuccess()) {
--- a/net/src/main/java/io/endiveshed/net/link/LinkServer.java
+++ b/net/src/main/java/io/endiveshed/net/link/LinkServer.java
@@ -1,5 +1,7 @@
 package io.endiveshed.net.link;
 
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.net.link.internal.LinkGuard;
 import io.endiveshed.net.link.internal.LinkPipeline;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -12,10 +14,12 @@
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final LinkListener listener;
+    private final LinkGuard guard;
     private Channel channel;
 
-    /** Makes a server that listens once started. */
-    public LinkServer(EventLoopGroup loops, InetSocketAddress address, LinkListener listener) {
+    /** Makes a server that listens once started and counts in the registry what peers do wrong. */
+    public LinkServer(EventLoopGroup loops, InetSocketAddress address, LinkListener listener, MetricRegistry registry) {
+        this.guard = new LinkGuard(registry);
         this.loops = loops;
         this.address = address;
         this.listener = listener;
@@ -26,7 +30,7 @@
         channel = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
-                .childHandler(new LinkPipeline(listener))
+                .childHandler(new LinkPipeline(listener, guard))
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
@@ -11,25 +11,38 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.timeout.ReadTimeoutException;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 
 /** Turns frames into messages and a channel into a {@link Link}. */
 final class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private final LinkListener listener;
+    private final LinkGuard guard;
     private ChannelLink link;
+    private ScheduledFuture<?> handshake;
 
-    LinkHandler(LinkListener listener) {
+    LinkHandler(LinkListener listener, LinkGuard guard) {
         this.listener = listener;
+        this.guard = guard;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        boolean accepted = guard.startHandshake();
+        handshake = ctx.executor()
+                .schedule(() -> handshakeLate(ctx), LinkGuard.HANDSHAKE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (!accepted) {
+            ctx.close();
+            return;
+        }
         link = new ChannelLink(ctx.channel());
         listener.opened(link);
     }
@@ -41,6 +54,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        endHandshake();
         if (link != null) {
             listener.closed(link);
         }
@@ -48,6 +62,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof DecoderException || cause instanceof MalformedMessageException) {
+            guard.malformedFrame();
+        }
         if (isPeerFault(cause)) {
             Logger.info("link to {} closed: {}", ctx.channel().remoteAddress(), String.valueOf(cause.getMessage()));
         } else {
@@ -59,6 +76,19 @@
         ctx.close();
     }
 
+    private void handshakeLate(ChannelHandlerContext ctx) {
+        guard.handshakeLate();
+        ctx.close();
+    }
+
+    private void endHandshake() {
+        if (handshake != null) {
+            handshake.cancel(false);
+            handshake = null;
+            guard.endHandshake();
+        }
+    }
+
     private static boolean isPeerFault(Throwable cause) {
         return cause instanceof MalformedMessageException
                 || cause instanceof TooLongFrameException
@@ -71,7 +101,7 @@
      * Link over one channel. Messages pass through one queue, so that a message sent by the event loop cannot overtake
      * an earlier one of another thread, and messages that wait together share one flush.
      */
-    private static final class ChannelLink implements Link {
+    private final class ChannelLink implements Link {
         private final Channel channel;
         private final Queue<Outgoing> outgoing = new ConcurrentLinkedQueue<>();
         private final AtomicBoolean drainScheduled = new AtomicBoolean();
@@ -101,6 +131,15 @@
             return channel.isActive();
         }
 
+        @Override
+        public void established() {
+            if (channel.eventLoop().inEventLoop()) {
+                endHandshake();
+            } else {
+                channel.eventLoop().execute(LinkHandler.this::endHandshake);
+            }
+        }
+
         @Override
         public void close() {
             channel.close();
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
@@ -18,10 +18,12 @@
     private static final int LENGTH_FIELD_BYTES = 4;
 
     private final LinkListener listener;
+    private final LinkGuard guard;
 
     /** Makes an initializer whose links report to the listener. */
-    public LinkPipeline(LinkListener listener) {
+    public LinkPipeline(LinkListener listener, LinkGuard guard) {
         this.listener = listener;
+        this.guard = guard;
     }
 
     @Override
@@ -32,6 +34,6 @@
                 .addLast(new LengthFieldBasedFrameDecoder(
                         ProtocolLimits.MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
-                .addLast(new LinkHandler(listener));
+                .addLast(new LinkHandler(listener, guard));
     }
 }
--- /dev/null
+++ b/net/src/test/java/io/endiveshed/net/http/HostileCallersTest.java
@@ -0,0 +1,235 @@
+package io.endiveshed.net.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Sends what no well-behaved caller sends, over real connections. */
+final class HostileCallersTest {
+    private static final int MAX_HEADER_BYTES = 4_096;
+    private static final int MAX_BODY_BYTES = 100_000;
+    private static final int MAX_HELD_BYTES = 150_000;
+    private static final int MIN_BYTES_PER_SECOND = 10_000;
+    private static final int READ_LIMIT_MILLIS = 30_000;
+    private static final long SEED = 5;
+    private static final int FUZZ_ROUNDS = 300;
+    private static final String GET = "GET /ok HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final AtomicLong largestBody = new AtomicLong();
+    private final HttpServer server = server(Duration.ofMillis(300));
+    private final HttpServer patientServer = server(Duration.ofMinutes(1));
+
+    @BeforeEach
+    void start() {
+        server.start();
+        patientServer.start();
+    }
+
+    @AfterEach
+    void stop() {
+        server.stop();
+        patientServer.stop();
+        loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against bodies that fill the memory, whether their length is announced or not. */
+    @Test
+    void bodyOverTheLimitIsRejected() throws Exception {
+        assertThat(exchange("POST / HTTP/1.1\r\nContent-Length: 100001\r\n\r\n"))
+                .contains("\"body_too_large\"");
+        String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
+        assertThat(exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(10)))
+                .contains("\"body_too_large\"");
+        assertThat(counter("body_too_large")).isEqualTo(2);
+        assertThat(largestBody.get()).isEqualTo(0);
+    }
+
+    /** Guards against header sections that fill the memory. */
+    @Test
+    void headerFloodIsRejected() throws Exception {
+        assertThat(exchange("GET / HTTP/1.1\r\n" + "a: b\r\n".repeat(MAX_HEADER_BYTES)))
+                .contains("\"headers_too_large\"");
+        assertThat(exchange("GET /" + "a".repeat(2 * MAX_HEADER_BYTES) + " HTTP/1.1\r\n\r\n"))
+                .contains("\"headers_too_large\"");
+        assertThat(counter("headers_too_large")).isEqualTo(2);
+    }
+
+    /** Guards against connections held open by header sections that never end, also after a first request. */
+    @Test
+    void headerSectionThatNeverEndsIsRejected() throws Exception {
+        assertThat(exchange("GET / HTTP/1.1\r\nHost")).contains("\"request_timeout\"");
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(bytes(GET));
+            assertThat(caller.getInputStream().read()).isEqualTo('H');
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+            caller.getOutputStream().write(bytes("GET / HTTP/1.1\r\nHost"));
+            assertThat(readAll(caller)).contains("\"request_timeout\"");
+        }
+        assertThat(counter("request_timeout")).isEqualTo(2);
+    }
+
+    /** Guards against connections held open by bodies that never end. */
+    @Test
+    void bodyThatStopsIsRejected() throws Exception {
+        assertThat(exchange("POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\nabc"))
+                .contains("\"request_timeout\"");
+    }
+
+    /** Guards against a time limit on the whole body, which would reject long prompts over slow connections. */
+    @Test
+    void bodyThatIsSlowButSteadyIsAccepted() throws Exception {
+        try (Socket caller = connect()) {
+            OutputStream out = caller.getOutputStream();
+            out.write(bytes("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 60000\r\n\r\n"));
+            for (int i = 0; i < 30; i++) {
+                out.write(new byte[2_000]);
+                out.flush();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(40));
+            }
+            assertThat(readAll(caller)).contains("200 OK");
+        }
+    }
+
+    /** Guards against many bodies that are each within the limit and together fill the memory. */
+    @Test
+    void bodiesOfAllCallersTogetherAreBounded() throws Exception {
+        String head = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 90000\r\n\r\n";
+        try (Socket first = connect(patientServer)) {
+            first.getOutputStream().write(bytes(head + "x".repeat(80_000)));
+            first.getOutputStream().flush();
+            exchangeUntil("\"overloaded\"", head + "x".repeat(90_000));
+            assertThat(counter("overloaded")).isGreaterThan(0);
+        }
+        exchangeUntil("200 OK", head + "x".repeat(90_000));
+    }
+
+    /** Guards against lost or interchanged answers to pipelined requests. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < 20; i++) {
+            requests.append("GET /n").append(i).append(" HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        requests.append("GET /last HTTP/1.1\r\nConnection: close\r\n\r\n");
+        String answers = exchange(requests.toString());
+        int from = 0;
+        for (int i = 0; i < 20; i++) {
+            int at = answers.indexOf("[/n" + i + "]", from);
+            assertThat(at).isAtLeast(from);
+            from = at;
+        }
+        assertThat(answers.indexOf("[/last]")).isAtLeast(from);
+    }
+
+    /** Guards against input that stops the server or stays without end, and against untyped errors. */
+    @Test
+    void randomAndMutatedRequestsLeaveTheServerUp() throws Exception {
+        Random random = new Random(SEED);
+        for (int i = 0; i < FUZZ_ROUNDS; i++) {
+            byte[] input = bytes("POST /ok HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc");
+            for (int changes = random.nextInt(4); changes >= 0; changes--) {
+                input[random.nextInt(input.length)] = (byte) random.nextInt();
+            }
+            try (Socket caller = connect()) {
+                caller.getOutputStream().write(input);
+                caller.shutdownOutput();
+                String answer = readAll(caller);
+                assertThat(answer.isEmpty() || answer.startsWith("HTTP/1.1 ")).isTrue();
+            }
+        }
+        assertThat(exchange("GET /ok HTTP/1.1\r\nConnection: close\r\n\r\n")).contains("[/ok]");
+    }
+
+    private void answer(HttpRequestData request, ResponseSink response) {
+        largestBody.accumulateAndGet(request.body().length, Math::max);
+        response.respond(200, List.of(), bytes("[" + request.uri() + "]"));
+    }
+
+    private long counter(String code) {
+        return metrics.counter("http.rejected." + code).getCount();
+    }
+
+    private HttpServer server(Duration timeout) {
+        return new HttpServer(
+                loops,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new HttpServerLimits(
+                        MAX_HEADER_BYTES, MAX_BODY_BYTES, timeout, timeout, MIN_BYTES_PER_SECOND, MAX_HELD_BYTES),
+                this::answer,
+                metrics);
+    }
+
+    /** Repeats until the server has noticed what another caller did before, and fails if it never does. */
+    private void exchangeUntil(String expected, String input) throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            if (exchange(patientServer, input).contains(expected)) {
+                return;
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+        throw new AssertionError("no answer contained " + expected);
+    }
+
+    private String exchange(String input) throws IOException {
+        return exchange(server, input);
+    }
+
+    private static String exchange(HttpServer server, String input) throws IOException {
+        try (Socket caller = connect(server)) {
+            caller.getOutputStream().write(bytes(input));
+            caller.getOutputStream().flush();
+            return readAll(caller);
+        }
+    }
+
+    private Socket connect() throws IOException {
+        return connect(server);
+    }
+
+    private static Socket connect(HttpServer server) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port());
+        socket.setSoTimeout(READ_LIMIT_MILLIS);
+        return socket;
+    }
+
+    /** Reads until the server closes; a reset after the answer counts as closed. */
+    private static String readAll(Socket caller) throws IOException {
+        StringBuilder answer = new StringBuilder();
+        byte[] buffer = new byte[4_096];
+        try {
+            for (int length = caller.getInputStream().read(buffer);
+                    length >= 0;
+                    length = caller.getInputStream().read(buffer)) {
+                answer.append(new String(buffer, 0, length, StandardCharsets.ISO_8859_1));
+            }
+        } catch (SocketException e) {
+            answer.append("RESET");
+        }
+        return answer.toString();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -136,6 +136,7 @@
             return;
         }
         welcomed = true;
+        from.established();
         backoffMillis = MIN_BACKOFF_MILLIS;
         reports = timers.scheduleAtFixedRate(
                 () -> from.send(calls.report(from, ++sequence)), 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -42,6 +42,7 @@
     private final EventLoopGroup loops;
     private final Map<String, Generation> running = new ConcurrentHashMap<>();
     private final AtomicLong unnamed = new AtomicLong();
+    private final AtomicLong produced = new AtomicLong();
     private volatile boolean ignoringDisconnects;
 
     /** Makes an engine that takes the given time for each generated token. */
@@ -68,6 +69,11 @@
         return running.size();
     }
 
+    /** Returns the number of streamed tokens so far. */
+    public long produced() {
+        return produced.get();
+    }
+
     /** Makes the engine go on with a request whose connection has closed, as some engines do. */
     public void ignoreDisconnects() {
         ignoringDisconnects = true;
@@ -217,16 +223,27 @@
             if (done) {
                 return;
             }
+            if (!stream && timePerToken.isZero()) {
+                next = words.length;
+            }
             if (next == words.length) {
                 finish();
                 return;
             }
             if (stream) {
-                response.write(event(words[next], next), () -> {});
+                produced.incrementAndGet();
+                response.write(event(words[next], next), this::continueLater);
+                next++;
+                return;
             }
             next++;
+            continueLater();
+        }
+
+        /** Waits for the next token; a streamed one also waits until the reader has taken the last. */
+        private void continueLater() {
             if (timePerToken.isZero()) {
-                step();
+                loops.execute(this::step);
             } else {
                 loops.schedule(this::step, timePerToken.toNanos(), TimeUnit.NANOSECONDS);
             }
