--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -5,10 +5,12 @@
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallCounters;
+import io.endiveshed.entry.internal.CallLatencies;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
+import io.endiveshed.net.http.MetricsPage;
 import io.endiveshed.net.link.LinkServer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -54,9 +56,15 @@
         SidecarLinks sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard);
         CallCounters counters = new CallCounters(metrics);
         this.dispatcher = new Dispatcher(
-                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
+                sidecars,
+                blackboard,
+                new LeastOutstandingSelector(sidecars::outstanding),
+                random,
+                loops,
+                counters,
+                new CallLatencies(metrics));
         sidecars.callMessages(dispatcher);
-        CallerApi api = new CallerApi(blackboard, dispatcher, parsers);
+        CallerApi api = new CallerApi(blackboard, dispatcher, parsers, new MetricsPage(metrics));
         this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), api, metrics);
         this.links = new LinkServer(loops, settings.linkAddress(), sidecars, metrics);
     }
--- a/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
@@ -27,6 +27,12 @@
     /** The call ends with a failure. */
     void failed(Failure failure);
 
-    /** The call has ended. */
+    /** The first byte of the answer goes to the caller. */
+    void firstByte(Call call, long queueMicros);
+
+    /** The whole answer has gone to the caller. */
+    void completed(Call call);
+
+    /** The call has ended, either way. */
     void finished(Call call);
 }
--- a/entry/src/main/java/io/endiveshed/entry/internal/Call.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Call.java
@@ -58,7 +58,12 @@
 
     /** Returns the time that the caller still allows, in milliseconds. */
     long remainingMillis() {
-        return plan.deadlineMillis() - (System.nanoTime() - startNanos) / 1_000_000;
+        return plan.deadlineMillis() - elapsedMicros() / 1_000;
+    }
+
+    /** Returns the time since the call was made, in microseconds. */
+    long elapsedMicros() {
+        return (System.nanoTime() - startNanos) / 1_000;
     }
 
     synchronized void timer(Future<?> value) {
@@ -169,6 +174,7 @@
         if (chunk.last()) {
             current.acknowledgeEnd();
             response.end();
+            events.completed(this);
             finish();
         }
     }
@@ -176,6 +182,7 @@
     private void startResponse() {
         if (!started) {
             started = true;
+            events.firstByte(this, head.queueMicros());
             response.start(head.status(), head.headers());
         }
     }
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -19,6 +19,7 @@
 import io.endiveshed.net.http.ErrorResponses;
 import io.endiveshed.net.http.HttpHandler;
 import io.endiveshed.net.http.HttpRequestData;
+import io.endiveshed.net.http.MetricsPage;
 import io.endiveshed.net.http.ResponseSink;
 import io.endiveshed.protocol.Header;
 import java.nio.charset.StandardCharsets;
@@ -42,9 +43,11 @@
     private final Blackboard blackboard;
     private final Dispatcher dispatcher;
     private final Executor parsers;
+    private final MetricsPage metrics;
 
     /** Makes the interface; the executor parses long bodies. */
-    public CallerApi(Blackboard blackboard, Dispatcher dispatcher, Executor parsers) {
+    public CallerApi(Blackboard blackboard, Dispatcher dispatcher, Executor parsers, MetricsPage metrics) {
+        this.metrics = metrics;
         this.blackboard = blackboard;
         this.dispatcher = dispatcher;
         this.parsers = parsers;
@@ -88,6 +91,7 @@
         String path = request.path();
         switch (path) {
             case "/healthz" -> text(response, "ok\n");
+            case "/metrics" -> text(response, metrics.text());
             case "/readyz" -> ready(response);
             case "/v1/models" -> models(request, response);
             case "/v1/completions", "/v1/chat/completions" -> completion(request, response);
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -41,6 +41,7 @@
     private final RandomGenerator random;
     private final ScheduledExecutorService timers;
     private final CallCounters counters;
+    private final CallLatencies latencies;
     private final RetryTokens retries = new RetryTokens();
     private final Cancels cancels;
     private final Map<RequestId, Call> calls = new ConcurrentHashMap<>();
@@ -52,13 +53,15 @@
             TargetSelector selector,
             RandomGenerator random,
             ScheduledExecutorService timers,
-            CallCounters counters) {
+            CallCounters counters,
+            CallLatencies latencies) {
         this.sidecars = sidecars;
         this.blackboard = blackboard;
         this.selector = selector;
         this.random = random;
         this.timers = timers;
         this.counters = counters;
+        this.latencies = latencies;
         this.cancels = new Cancels(sidecars, counters);
     }
 
@@ -146,6 +149,22 @@
         counters.error(failure.kind());
     }
 
+    @Override
+    public void firstByte(Call call, long queueMicros) {
+        CallLatencies.Band band = band(call);
+        band.firstToken().update(call.elapsedMicros());
+        band.queue().update(Math.max(0, queueMicros));
+    }
+
+    @Override
+    public void completed(Call call) {
+        band(call).total().update(call.elapsedMicros());
+    }
+
+    private CallLatencies.Band band(Call call) {
+        return latencies.band(call.plan().account(), call.plan().routing().promptTokens());
+    }
+
     @Override
     public void finished(Call call) {
         calls.remove(call.id());
--- a/local/src/test/java/io/endiveshed/local/LocalDeploymentTest.java
+++ b/local/src/test/java/io/endiveshed/local/LocalDeploymentTest.java
@@ -54,6 +54,17 @@
         assertThat(send(completion(prompt, true)).body()).endsWith("data: [DONE]\n\n");
     }
 
+    /** Guards against metrics that are missing, unlabelled or not in the text form of Prometheus. */
+    @Test
+    void metricsTellLatenciesByAccountAndBandAndErrorsByKind() throws Exception {
+        send(completion("hello", false));
+        String page = send(request("/metrics").build()).body();
+        assertThat(page).contains("# TYPE endiveshed_entry_first_token_micros summary\n");
+        assertThat(page).contains("endiveshed_entry_total_micros_count{account=\"local\",band=\"short\"} 1\n");
+        assertThat(page).contains("endiveshed_entry_queue_micros{account=\"local\",band=\"short\",quantile=\"0.99\"} ");
+        assertThat(page).contains("\nendiveshed_entry_errors_deadline_exceeded 0\n");
+    }
+
     /** Guards against errors without outcome or remedy. */
     @Test
     void unknownModelIsRefusedAsNotRun() throws Exception {
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
@@ -66,7 +66,7 @@
             guard.malformedFrame();
         }
         if (isPeerFault(cause)) {
-            Logger.info("link to {} closed: {}", ctx.channel().remoteAddress(), String.valueOf(cause.getMessage()));
+            Logger.debug("link to {} closed: {}", ctx.channel().remoteAddress(), String.valueOf(cause.getMessage()));
         } else {
             Logger.error(
                     cause,
--- a/protocol/src/main/java/io/endiveshed/protocol/Message.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/Message.java
@@ -135,8 +135,9 @@
      * @param attempt request and attempt
      * @param status HTTP status
      * @param headers header fields for the caller
+     * @param queueMicros time that the attempt waited in the sidecar, in microseconds
      */
-    record ResponseHead(AttemptId attempt, int status, List<Header> headers) implements Message {}
+    record ResponseHead(AttemptId attempt, int status, List<Header> headers, long queueMicros) implements Message {}
 
     /**
      * Final failure of an attempt.
--- a/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
@@ -198,8 +198,8 @@
                 yield new BodyChunk(Fields.readAttempt(in), in.unpackLong(), Fields.readBytes(in), in.unpackBoolean());
             }
             case RESPONSE_HEAD -> {
-                Fields.expectCount(elements, 6, "ResponseHead");
-                yield new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in));
+                Fields.expectCount(elements, 7, "ResponseHead");
+                yield new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in), in.unpackLong());
             }
             case ATTEMPT_FAILED -> {
                 Fields.expectCount(elements, 8, "AttemptFailed");
@@ -333,10 +333,11 @@
     }
 
     private static void writeResponseHead(MessagePacker packer, ResponseHead m) throws IOException {
-        Fields.writeStart(packer, 6, RESPONSE_HEAD);
+        Fields.writeStart(packer, 7, RESPONSE_HEAD);
         Fields.writeAttempt(packer, m.attempt());
         packer.packInt(m.status());
         Fields.writeHeaders(packer, m.headers());
+        packer.packLong(m.queueMicros());
     }
 
     private static void writeAttemptFailed(MessagePacker packer, AttemptFailed m) throws IOException {
--- a/protocol/src/test/java/io/endiveshed/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/io/endiveshed/protocol/MessageCodecTest.java
@@ -57,7 +57,7 @@
                         3,
                         4),
                 new Message.BodyChunk(ATTEMPT, 5, BYTES, true),
-                new Message.ResponseHead(ATTEMPT, 200, List.of()),
+                new Message.ResponseHead(ATTEMPT, 200, List.of(), 9),
                 new Message.AttemptFailed(ATTEMPT, ErrorKind.OVERLOADED, "full", Outcome.NOT_RUN, 10),
                 new Message.Credit(ATTEMPT, 6),
                 new Message.Cancel(ATTEMPT),
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -41,6 +41,7 @@
     private HttpExchange exchange;
     private Message.ResponseHead head;
     private Message.AttemptFailed failure;
+    private long queueMicros;
     private boolean run;
     private boolean complete;
     private boolean released;
@@ -104,6 +105,7 @@
             return;
         }
         run = true;
+        queueMicros = (System.nanoTime() - acceptedNanos) / 1_000;
         List<Header> headers = new ArrayList<>(dispatch.headers());
         headers.add(new Header("x-request-id", dispatch.attempt().toString()));
         headers.add(new Header("x-priority", Integer.toString(dispatch.priority())));
@@ -173,7 +175,7 @@
                 .filter(header -> !CONNECTION_HEADERS.contains(header.name().toLowerCase(Locale.ROOT)))
                 .limit(ProtocolLimits.MAX_HEADERS)
                 .toList();
-        head = new Message.ResponseHead(attempt(), status, forwarded);
+        head = new Message.ResponseHead(attempt(), status, forwarded, queueMicros);
         send(head);
     }
 
