--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
 /** Sends requests to targets and their answers to callers. */
@@ -38,7 +39,13 @@
     private final SidecarLinks sidecars;
     private final Blackboard blackboard;
     private final TargetSelector selector;
-    private final RandomGenerator random;
+    /**
+     * Upper half of request ids, random for each process; the lower half counts. A secure random number for each
+     * request takes a lock that all event loops share.
+     */
+    private final long idPrefix;
+
+    private final AtomicLong requests = new AtomicLong();
     private final ScheduledExecutorService timers;
     private final CallCounters counters;
     private final CallLatencies latencies;
@@ -58,7 +65,7 @@
         this.sidecars = sidecars;
         this.blackboard = blackboard;
         this.selector = selector;
-        this.random = random;
+        this.idPrefix = random.nextLong();
         this.timers = timers;
         this.counters = counters;
         this.latencies = latencies;
@@ -73,7 +80,7 @@
 
     /** Sends a request to a target, or refuses it at once. */
     void dispatch(CallPlan plan, ResponseSink response) {
-        Call call = new Call(RequestId.random(random), plan, response, this);
+        Call call = new Call(new RequestId(idPrefix, requests.incrementAndGet()), plan, response, this);
         retries.requested();
         calls.put(call.id(), call);
         call.timer(timers.schedule(
