Start the buffer of a message at 512 bytes

Cause: the default packer takes 8 KiB for each message, about 64 KiB of garbage for a short request.

Change: the first buffer has 512 bytes and grows; longer payloads pass by.

--- a/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
@@ -63,11 +63,17 @@
     private static final int PING = 19;
     private static final int PONG = 20;
 
+    /** First buffer of a message in bytes; the default of 8 KiB is a hundred times the size of most messages. */
+    private static final int BUFFER_BYTES = 512;
+
+    private static final MessagePack.PackerConfig PACKING =
+            new MessagePack.PackerConfig().withBufferSize(BUFFER_BYTES).withBufferFlushThreshold(BUFFER_BYTES);
+
     private MessageCodec() {}
 
     /** Encodes a message, without the length field of the frame. */
     public static byte[] encode(Message message) {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = PACKING.newBufferPacker()) {
             write(packer, message);
             return packer.toByteArray();
         } catch (IOException e) {
