Keep idle links open

Cause: an entry sends nothing on an idle link, and the sidecar closes a link on which it reads nothing for 10 s. The long lane was always idle under short requests, so all targets went away together every 10 s, and the load tool saw "no live target serves tsehay-llm".

Change: a sidecar asks for a Pong every 3 s.

Conclusion: the cause of the errors with a known text is removed.

--- a/local/src/test/java/io/endiveshed/local/BrokenPartsTest.java
+++ b/local/src/test/java/io/endiveshed/local/BrokenPartsTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.endiveshed.net.link.internal.LinkPipeline;
+import io.endiveshed.protocol.Lane;
 import io.endiveshed.standins.EngineStandIn;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -15,6 +17,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -103,6 +107,16 @@
         }
     }
 
+    /** Guards against idle links that close by themselves, which takes every target away for a moment. */
+    @Test
+    void idleLinksStayOpen() throws Exception {
+        try (TestFleet fleet = new TestFleet(1, Duration.ZERO)) {
+            assertThat(fleet.relay().accepted()).isEqualTo(Lane.values().length);
+            LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(LinkPipeline.READ_TIMEOUT_SECONDS + 2L));
+            assertThat(fleet.relay().accepted()).isEqualTo(Lane.values().length);
+        }
+    }
+
     /** Guards against engine memory held for a caller that has gone. */
     @Test
     void callerThatGoesAwayFreesTheEngine() throws Exception {
--- a/local/src/test/java/io/endiveshed/local/Relay.java
+++ b/local/src/test/java/io/endiveshed/local/Relay.java
@@ -20,6 +20,7 @@
     private final InetSocketAddress target;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong bytesUntilCut = new AtomicLong(Long.MAX_VALUE);
+    private final AtomicLong accepted = new AtomicLong();
     private volatile boolean refusing;
 
     Relay(InetSocketAddress target) throws IOException {
@@ -32,6 +33,11 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
     }
 
+    /** Returns the number of links that were opened so far. */
+    long accepted() {
+        return accepted.get();
+    }
+
     /** Closes every link that is open now. */
     void cut() {
         open.forEach(Relay::closeQuietly);
@@ -66,6 +72,7 @@
                     closeQuietly(sidecar);
                     continue;
                 }
+                accepted.incrementAndGet();
                 Socket entry = new Socket(target.getAddress(), target.getPort());
                 open.add(sidecar);
                 open.add(entry);
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
@@ -12,7 +12,7 @@
 
 /** Sets up the handlers of a link. */
 public final class LinkPipeline extends ChannelInitializer<Channel> {
-    /** Time without any frame after which a link counts as broken; both ends send at least every 500 ms. */
+    /** Time without any frame after which a link counts as broken; a sidecar sends every 500 ms and asks every 3 s. */
     public static final int READ_TIMEOUT_SECONDS = 10;
 
     private static final int LENGTH_FIELD_BYTES = 4;
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -22,6 +22,9 @@
     private static final long MAX_BACKOFF_MILLIS = 2_000;
     private static final long REPORT_INTERVAL_MILLIS = 500;
 
+    /** Reports between two pings, which makes 3 s and is well below the read timeout of a link. */
+    private static final long REPORTS_PER_PING = 6;
+
     private final SidecarSettings settings;
     private final Incarnation incarnation;
     private final InetSocketAddress entry;
@@ -90,7 +93,7 @@
             from.close();
         } else if (message instanceof Message.Ping ping) {
             from.send(new Message.Pong(ping.sequence()));
-        } else {
+        } else if (!(message instanceof Message.Pong)) {
             calls.received(from, message);
         }
     }
@@ -138,8 +141,15 @@
         welcomed = true;
         from.established();
         backoffMillis = MIN_BACKOFF_MILLIS;
-        reports = timers.scheduleAtFixedRate(
-                () -> from.send(calls.report(from, ++sequence)), 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        reports = timers.scheduleAtFixedRate(() -> report(from), 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reports load, and now and then asks for a sign of life, because an idle entry sends nothing by itself. */
+    private void report(Link to) {
+        to.send(calls.report(to, ++sequence));
+        if (sequence % REPORTS_PER_PING == 0) {
+            to.send(new Message.Ping(sequence));
+        }
     }
 
     private void reconnectLater() {
