--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -6,11 +6,13 @@
 import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallCounters;
+import io.endiveshed.entry.internal.CallLatencies;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.DrainGate;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
+import io.endiveshed.net.http.MetricsPage;
 import io.endiveshed.net.link.LinkServer;
 import io.endiveshed.ports.platform.InstanceList;
 import io.netty.channel.EventLoopGroup;
@@ -103,11 +105,17 @@
         this.sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table);
         CallCounters counters = new CallCounters(metrics);
         this.dispatcher = new Dispatcher(
-                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
+                sidecars,
+                blackboard,
+                new LeastOutstandingSelector(sidecars::outstanding),
+                random,
+                loops,
+                counters,
+                new CallLatencies(metrics));
         sidecars.callMessages(dispatcher);
-        this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers));
-        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate);
-        this.links = new LinkServer(loops, settings.linkAddress(), sidecars);
+        this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers, new MetricsPage(metrics)));
+        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate, metrics);
+        this.links = new LinkServer(loops, settings.linkAddress(), sidecars, metrics);
     }
 
     /** Starts to accept links and callers. */
--- a/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
+++ b/protocol/src/main/java/io/endiveshed/protocol/MessageCodec.java
@@ -63,11 +63,17 @@
     private static final int PING = 19;
     private static final int PONG = 20;
 
+    /** First buffer of a message in bytes; the default of 8 KiB is a hundred times the size of most messages. */
+    private static final int BUFFER_BYTES = 512;
+
+    private static final MessagePack.PackerConfig PACKING =
+            new MessagePack.PackerConfig().withBufferSize(BUFFER_BYTES).withBufferFlushThreshold(BUFFER_BYTES);
+
     private MessageCodec() {}
 
     /** Encodes a message, without the length field of the frame. */
     public static byte[] encode(Message message) {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker packer = PACKING.newBufferPacker()) {
             write(packer, message);
             return packer.toByteArray();
         } catch (IOException e) {
@@ -198,8 +204,8 @@
                 yield new BodyChunk(Fields.readAttempt(in), in.unpackLong(), Fields.readBytes(in), in.unpackBoolean());
             }
             case RESPONSE_HEAD -> {
-                Fields.expectCount(elements, 6, "ResponseHead");
-                yield new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in));
+                Fields.expectCount(elements, 7, "ResponseHead");
+                yield new ResponseHead(Fields.readAttempt(in), in.unpackInt(), Fields.readHeaders(in), in.unpackLong());
             }
             case ATTEMPT_FAILED -> {
                 Fields.expectCount(elements, 8, "AttemptFailed");
@@ -333,10 +339,11 @@
     }
 
     private static void writeResponseHead(MessagePacker packer, ResponseHead m) throws IOException {
-        Fields.writeStart(packer, 6, RESPONSE_HEAD);
+        Fields.writeStart(packer, 7, RESPONSE_HEAD);
         Fields.writeAttempt(packer, m.attempt());
         packer.packInt(m.status());
         Fields.writeHeaders(packer, m.headers());
+        packer.packLong(m.queueMicros());
     }
 
     private static void writeAttemptFailed(MessagePacker packer, AttemptFailed m) throws IOException {
