--- a/coordination/src/main/java/io/endiveshed/coordination/blackboard/Blackboard.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/blackboard/Blackboard.java
@@ -1,5 +1,6 @@
 package io.endiveshed.coordination.blackboard;
 
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.coordination.config.Configuration;
 import io.endiveshed.coordination.membership.FleetView;
 
