Run keyed calls only through the claim log, and revoke unanswered ones

Cause: an idempotency key had no effect; a repeated key ran the call again, and an unanswered call was always reported as unknown.

Before: no fence between dispatch and target. After: the sidecar claims a key when the body is whole, starts the call only if its claim is granted, keeps the answer and answers Revoke; the entry sends a key to the sidecar that rendezvous hashing names for its partition and revokes before the deadline or after a lost link. A sidecar that says not_run must first close the attempt's gate.

ClaimLog.drop writes its release on a timer, because callers hold the lock of a call that a stage of the log may need; one test now lets that timer run before it claims the key again, and still requires the grant.

--- a/coordination/src/main/java/io/endiveshed/coordination/claim/ClaimLog.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/claim/ClaimLog.java
@@ -82,14 +82,15 @@
     }
 
     /**
-     * Drops a call that has not been started and gives its claim back.
+     * Drops a call that has not been started and gives its claim back. Completes no stage before it returns.
      *
      * @return true if the attempt has not run and never will
      */
     public boolean drop(ClaimKey key, AttemptId attempt) {
         boolean dropped = gate.drop(attempt);
         if (dropped) {
-            release(key, attempt);
+            // On a timer's thread, so that callers may hold a lock that the stages of this log need.
+            environment.timers().after(Duration.ZERO, () -> release(key, attempt));
         }
         return dropped;
     }
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimLogTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimLogTest.java
@@ -71,6 +71,7 @@
         fixture.time.run(Duration.ofMinutes(6));
         assertThat(log.start(attempt)).isFalse();
         assertThat(log.drop(fixture.key("k"), attempt)).isTrue();
+        fixture.time.run(WAIT);
         assertThat(fixture.claim(log, "k", BODY)).isInstanceOf(ClaimDecision.Granted.class);
     }
 
--- a/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
@@ -24,6 +24,9 @@
     /** The target must stop the attempt. */
     void cancel(AttemptId attempt, TargetId target, long bodyBytes);
 
+    /** The attempt of a non-idempotent call has no answer; {@link Call#revoked} hears whether it can still run. */
+    void revoke(Call call, AttemptId attempt, TargetId target, Failure failure);
+
     /** The call ends with a failure. */
     void failed(Failure failure);
 
--- a/entry/src/main/java/io/endiveshed/entry/internal/Call.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Call.java
@@ -137,6 +137,22 @@
         }
     }
 
+    /** Fences the current attempt shortly before the deadline, so that the caller may learn that it was not run. */
+    synchronized void revokeUnanswered() {
+        if (!finished && current != null && !started) {
+            events.revoke(this, current.id(), current.target(), CallFailures.deadlineExceeded(plan));
+        }
+    }
+
+    /** Ends an attempt that was revoked; one that may have run goes on until its deadline unless its link is lost. */
+    synchronized void revoked(AttemptId attempt, Outcome outcome, Failure failure) {
+        boolean ours = !finished && !started && current != null && current.id().equals(attempt);
+        if (ours && (outcome == Outcome.NOT_RUN || failure.kind() == ErrorKind.LINK_LOST)) {
+            cancelAttempt();
+            attemptFailed(CallFailures.withOutcome(failure, outcome));
+        }
+    }
+
     /** Ends the call because no target can take its next attempt. */
     synchronized void refuse(Failure failure) {
         if (!finished) {
@@ -188,11 +204,16 @@
 
     /** Leaves an attempt whose link broke; the sidecar is told to drop it as soon as it is linked again. */
     private void abandonAttempt(Outcome outcome) {
-        cancelAttempt();
-        attemptFailed(Failure.of(ErrorKind.LINK_LOST)
+        Failure failure = Failure.of(ErrorKind.LINK_LOST)
                 .message("the link to target " + current.target().instance() + " was lost")
                 .outcome(outcome)
-                .build());
+                .build();
+        if (outcome == Outcome.UNKNOWN && isKeyed() && !started) {
+            events.revoke(this, current.id(), current.target(), failure);
+            return;
+        }
+        cancelAttempt();
+        attemptFailed(failure);
     }
 
     private void cancelAttempt() {
@@ -212,7 +233,7 @@
     }
 
     private boolean isKeyed() {
-        return !plan.idempotencyKey().isEmpty();
+        return KeyRouting.isKeyed(plan);
     }
 
     /** Ends the call with a failure; after the first byte the caller sees a truncated response. */
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallFailures.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallFailures.java
@@ -47,6 +47,14 @@
         return Failure.of(ErrorKind.CANCELLED).outcome(Outcome.UNKNOWN).build();
     }
 
+    /** Returns the failure with another outcome. */
+    static Failure withOutcome(Failure failure, Outcome outcome) {
+        Failure.Builder changed =
+                Failure.of(failure.kind()).message(failure.message()).outcome(outcome);
+        failure.retryAfter().ifPresent(changed::retryAfter);
+        return changed.build();
+    }
+
     /** Returns the failure with outcome unknown if it says not run, because an earlier attempt may have run. */
     static Failure possiblyRun(Failure failure) {
         if (failure.outcome() != Outcome.NOT_RUN) {
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -33,6 +33,9 @@
      */
     private static final Duration SHORT_RESUME_WAIT = Duration.ofMillis(500);
 
+    /** Time before the deadline at which an unanswered call is revoked; at most a quarter of the time allowed. */
+    private static final Duration REVOKE_MARGIN = Duration.ofSeconds(1);
+
     private static final byte[] NO_DIGEST = new byte[0];
 
     private final SidecarLinks sidecars;
@@ -43,6 +46,7 @@
     private final CallCounters counters;
     private final RetryTokens retries = new RetryTokens();
     private final Cancels cancels;
+    private final Revocations revocations;
     private final Map<RequestId, Call> calls = new ConcurrentHashMap<>();
 
     /** Makes a dispatcher. */
@@ -60,6 +64,7 @@
         this.timers = timers;
         this.counters = counters;
         this.cancels = new Cancels(sidecars, counters);
+        this.revocations = new Revocations(sidecars, blackboard, timers);
     }
 
     /** Starts to repeat cancels until they are acknowledged. */
@@ -75,6 +80,10 @@
         calls.put(call.id(), call);
         call.timer(timers.schedule(
                 () -> call.cancel(CallFailures.deadlineExceeded(plan)), plan.deadlineMillis(), TimeUnit.MILLISECONDS));
+        if (KeyRouting.isKeyed(plan)) {
+            long revokeAt = plan.deadlineMillis() - Math.min(REVOKE_MARGIN.toMillis(), plan.deadlineMillis() / 4);
+            timers.schedule(call::revokeUnanswered, revokeAt, TimeUnit.MILLISECONDS);
+        }
         response.onDisconnect(() -> call.cancel(CallFailures.callerGone()));
         attempt(call, CallFailures.noTarget(plan.routing()));
     }
@@ -85,6 +94,10 @@
             cancels.acknowledged(ack.attempt());
             return;
         }
+        if (message instanceof Message.RevokeResult result) {
+            revocations.received(result);
+            return;
+        }
         AttemptId attempt = attemptOf(message);
         Call call = attempt == null ? null : calls.get(attempt.request());
         if (call == null || !call.received(link, attempt, message)) {
@@ -141,6 +154,17 @@
         cancels.cancel(attempt, target, bodyBytes);
     }
 
+    @Override
+    public void revoke(Call call, AttemptId attempt, TargetId target, Failure failure) {
+        // The result may come at once, and the caller of this method holds the call's lock.
+        timers.execute(() -> revocations.revoke(
+                call.plan(),
+                attempt,
+                target,
+                call.remainingMillis(),
+                outcome -> call.revoked(attempt, outcome, failure)));
+    }
+
     @Override
     public void failed(Failure failure) {
         counters.error(failure.kind());
@@ -162,7 +186,8 @@
                 : serving.stream()
                         .filter(target -> !tried.contains(target.id()))
                         .toList();
-        Optional<TargetView> chosen = selector.select(routing, candidates);
+        Optional<TargetView> chosen =
+                KeyRouting.isKeyed(plan) ? KeyRouting.select(plan, candidates) : selector.select(routing, candidates);
         Optional<Link> link = chosen.flatMap(target -> sidecars.link(target.id(), plan.body().length));
         if (link.isEmpty()) {
             call.refuse(otherwise);
--- a/local/src/main/java/io/endiveshed/local/LocalDeployment.java
+++ b/local/src/main/java/io/endiveshed/local/LocalDeployment.java
@@ -17,6 +17,7 @@
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.entry.internal.BearerKeys;
 import io.endiveshed.net.link.LinkSecret;
+import io.endiveshed.ports.platform.ObjectStore;
 import io.endiveshed.sidecar.SidecarDaemon;
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.BookingStandIn;
@@ -65,9 +66,16 @@
     private final List<SidecarDaemon> sidecars = new ArrayList<>();
     private final BookingStandIn bookings = new BookingStandIn(loops, loopback(0));
     private final EntryDaemon entry;
+    private final ObjectStore store;
 
     /** Makes a deployment that answers callers on the given port; port 0 lets the system choose. */
     public LocalDeployment(int port) {
+        this(port, new LocalObjectStore());
+    }
+
+    /** Makes a deployment over a store of the platform. */
+    LocalDeployment(int port, ObjectStore store) {
+        this.store = store;
         this.entry = new EntryDaemon(
                 EntrySettings.builder()
                         .instance(new InstanceId("entry-1"))
@@ -126,17 +134,19 @@
     }
 
     private void startSidecar(String instance, TargetKind kind, String serves, int targetPort, long kvCapacity) {
-        SidecarDaemon sidecar = new SidecarDaemon(SidecarSettings.builder()
-                .instance(new InstanceId(instance))
-                .region(REGION)
-                .failureDomain(new FailureDomain("local-a"))
-                .targetKind(kind)
-                .serves(List.of(serves))
-                .targetAddress(loopback(targetPort))
-                .entries(List.of(loopback(entry.linkPort())))
-                .linkSecret(SECRET)
-                .kvCapacityTokens(kvCapacity)
-                .build());
+        SidecarDaemon sidecar = new SidecarDaemon(
+                SidecarSettings.builder()
+                        .instance(new InstanceId(instance))
+                        .region(REGION)
+                        .failureDomain(new FailureDomain("local-a"))
+                        .targetKind(kind)
+                        .serves(List.of(serves))
+                        .targetAddress(loopback(targetPort))
+                        .entries(List.of(loopback(entry.linkPort())))
+                        .linkSecret(SECRET)
+                        .kvCapacityTokens(kvCapacity)
+                        .build(),
+                store);
         sidecars.add(sidecar);
         sidecar.start();
     }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,15 +1,21 @@
 package io.endiveshed.sidecar;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.coordination.claim.ClaimEnvironment;
+import io.endiveshed.coordination.claim.ClaimLog;
+import io.endiveshed.coordination.claim.ClaimSettings;
 import io.endiveshed.coordination.membership.EntryMesh;
 import io.endiveshed.coordination.membership.EntrySelection;
 import io.endiveshed.net.engine.HttpEnginePort;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.ports.platform.InstanceList;
+import io.endiveshed.ports.platform.ObjectStore;
 import io.endiveshed.sidecar.internal.EngineOrphans;
 import io.endiveshed.sidecar.internal.EntryLinks;
+import io.endiveshed.sidecar.internal.KeyedCalls;
 import io.endiveshed.sidecar.internal.LinkContext;
 import io.endiveshed.sidecar.internal.TargetCalls;
 import io.netty.channel.EventLoopGroup;
@@ -25,6 +31,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 import org.agrona.concurrent.SystemNanoClock;
 import org.tinylog.Logger;
 
@@ -32,7 +39,7 @@
  * Sidecar of one target.
  *
  * <pre>{@code
- * SidecarDaemon sidecar = new SidecarDaemon(settings, instanceList);
+ * SidecarDaemon sidecar = new SidecarDaemon(settings, store);
  * sidecar.start();
  * ...
  * sidecar.stop();
@@ -62,25 +69,38 @@
     private final AtomicBoolean stopping = new AtomicBoolean();
 
     /** Makes a sidecar that knows only the entries of its settings. */
-    public SidecarDaemon(SidecarSettings settings) {
-        this(settings, () -> CompletableFuture.completedFuture(Either.right(List.of())), InstantSource.system());
+    public SidecarDaemon(SidecarSettings settings, ObjectStore store) {
+        this(settings, store, () -> CompletableFuture.completedFuture(Either.right(List.of())), InstantSource.system());
     }
 
     /** Makes a sidecar that connects once started; the clock decides about opening hours. */
-    public SidecarDaemon(SidecarSettings settings, InstanceList list, InstantSource clock) {
+    public SidecarDaemon(SidecarSettings settings, ObjectStore store, InstanceList list, InstantSource clock) {
         this.settings = settings;
         this.clock = clock;
         this.loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
         this.target = new HttpClient(loops, settings.targetAddress());
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
-        this.calls = new TargetCalls(settings, incarnation, target);
+        this.calls = new TargetCalls(settings, incarnation, target, keyedCalls(store, random, incarnation));
         LinkContext context = new LinkContext(settings, incarnation, new LinkDialer(loops), loops, random, calls);
         EntrySelection selection = new EntrySelection(settings.instance(), settings.place());
         EntryMesh mesh = new EntryMesh(selection, EntryLinks.seeds(settings), SystemNanoClock.INSTANCE);
         this.entries = new EntryLinks(context, mesh, list);
     }
 
+    private KeyedCalls keyedCalls(ObjectStore store, RandomGenerator random, Incarnation incarnation) {
+        ServiceName service = new ServiceName(settings.serves().get(0));
+        ClaimEnvironment environment = new ClaimEnvironment(
+                store,
+                (delay, task) -> loops.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
+                clock::millis,
+                SystemNanoClock.INSTANCE,
+                random,
+                incarnation);
+        return new KeyedCalls(
+                service, new ClaimLog(service, ClaimSettings.builder().build(), environment));
+    }
+
     /** Opens links to the entry daemons, or waits for the opening time; at closing time the sidecar stops. */
     public void start() {
         followHours();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -1,6 +1,7 @@
 package io.endiveshed.sidecar.internal;
 
 import io.endiveshed.base.error.ErrorKind;
+import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.net.http.HttpClient;
@@ -10,6 +11,7 @@
 import io.endiveshed.protocol.Header;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -31,6 +33,7 @@
 
     private final Message.Dispatch dispatch;
     private final HttpClient target;
+    private final CallFence fence;
     private final Consumer<TargetCall> whenReleased;
     private final long acceptedNanos = System.nanoTime();
     private final ResponseWindow window = new ResponseWindow();
@@ -47,7 +50,13 @@
     private boolean released;
 
     /** Makes a call; the consumer hears once when the call neither waits nor runs any more. */
-    TargetCall(Link link, Message.Dispatch dispatch, HttpClient target, Consumer<TargetCall> whenReleased) {
+    TargetCall(
+            Link link,
+            Message.Dispatch dispatch,
+            HttpClient target,
+            CallFence fence,
+            Consumer<TargetCall> whenReleased) {
+        this.fence = fence;
         this.link = link;
         this.dispatch = dispatch;
         this.target = target;
@@ -63,6 +72,14 @@
         return link != null && links.test(link);
     }
 
+    Message.Dispatch dispatch() {
+        return dispatch;
+    }
+
+    CallFence fence() {
+        return fence;
+    }
+
     AttemptId attempt() {
         return dispatch.attempt();
     }
@@ -104,15 +121,38 @@
     }
 
     /** Sends the call to the target. */
-    synchronized void run() {
+    void run() {
+        if (!sendToTarget()) {
+            fail(ErrorKind.CANCELLED, "the attempt was revoked or its time is over", Outcome.NOT_RUN);
+        }
+    }
+
+    /** Ends the call without running it. */
+    void refuse(Failure reason) {
+        long retryAfterMillis = reason.retryAfter().map(Duration::toMillis).orElse(0L);
+        fail(reason.kind(), reason.message(), reason.outcome(), retryAfterMillis);
+    }
+
+    /** Ends the call with an answer that is known already. */
+    void answer(int status, List<Header> headers, byte[] bytes) {
+        started(status, headers);
+        received(bytes);
+        ended();
+    }
+
+    private synchronized boolean sendToTarget() {
         if (released) {
-            return;
+            return true;
+        }
+        if (!fence.start()) {
+            return false;
         }
         run = true;
         List<Header> headers = new ArrayList<>(dispatch.headers());
         headers.add(new Header("x-request-id", dispatch.attempt().toString()));
         headers.add(new Header("x-priority", Integer.toString(dispatch.priority())));
-        exchange = target.send(dispatch.method(), dispatch.path(), headers, body, this);
+        exchange = target.send(dispatch.method(), dispatch.path(), headers, body, fence.record(this));
+        return true;
     }
 
     /** Notes that the caller has taken bytes of the response. */
@@ -197,7 +237,7 @@
             byte[] part = from == 0 && to == bytes.length ? bytes : Arrays.copyOfRange(bytes, from, to);
             send(new Message.BodyChunk(attempt(), window.add(part), part, false));
         }
-        if (window.credit() <= 0) {
+        if (window.credit() <= 0 && exchange != null) {
             exchange.pause(true);
         }
     }
@@ -252,11 +292,16 @@
     }
 
     private void fail(ErrorKind kind, String message, Outcome outcome) {
+        fail(kind, message, outcome, 0);
+    }
+
+    private void fail(ErrorKind kind, String message, Outcome outcome, long retryAfterMillis) {
         synchronized (this) {
             if (released) {
                 return;
             }
-            failure = new Message.AttemptFailed(attempt(), kind, message, outcome, 0);
+            Outcome proved = outcome == Outcome.NOT_RUN && !fence.drop() ? Outcome.UNKNOWN : outcome;
+            failure = new Message.AttemptFailed(attempt(), kind, message, proved, retryAfterMillis);
             send(failure);
         }
         release();
@@ -271,8 +316,11 @@
             released = true;
             body = new byte[0];
             current = complete ? null : exchange;
+            fence.drop();
         }
-        if (current != null) {
+        if (current != null && fence.finishesWithoutEntry()) {
+            current.pause(false);
+        } else if (current != null) {
             current.cancel();
         }
         whenReleased.accept(this);
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
@@ -31,6 +31,7 @@
     private final SidecarSettings settings;
     private final Incarnation incarnation;
     private final HttpClient target;
+    private final KeyedCalls keyed;
     private final Map<AttemptId, TargetCall> calls = new ConcurrentHashMap<>();
     private final Set<TargetCall> waiting = new LinkedHashSet<>();
     private final Set<TargetCall> running = new LinkedHashSet<>();
@@ -39,7 +40,8 @@
     private volatile boolean draining;
 
     /** Makes the table of calls of one target. */
-    public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target) {
+    public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target, KeyedCalls keyed) {
+        this.keyed = keyed;
         this.settings = settings;
         this.incarnation = incarnation;
         this.target = target;
@@ -57,6 +59,8 @@
             resume(link, resume);
         } else if (message instanceof Message.Cancel cancel) {
             cancel(link, cancel.attempt());
+        } else if (message instanceof Message.Revoke revoke) {
+            keyed.revoke(link, revoke);
         } else {
             droppedFrames.incrementAndGet();
         }
@@ -96,7 +100,7 @@
 
     /** Tells whether no call is held. */
     public boolean isIdle() {
-        return calls.isEmpty();
+        return calls.isEmpty() && keyed.isIdle();
     }
 
     /** Tells whether a call is held that came over one of the links. */
@@ -148,7 +152,7 @@
             refuse(link, dispatch, ErrorKind.OVERLOADED, "request bodies fill " + MAX_BODY_BYTES + " bytes");
             return;
         }
-        TargetCall call = new TargetCall(link, dispatch, target, this::released);
+        TargetCall call = new TargetCall(link, dispatch, target, keyed.fence(dispatch), this::released);
         if (calls.putIfAbsent(dispatch.attempt(), call) != null) {
             bodyBytes.addAndGet(-dispatch.bodyBytes());
             droppedFrames.incrementAndGet();
@@ -160,8 +164,15 @@
         if (call == null || !call.append(chunk)) {
             return;
         }
+        keyed.admit(call, () -> queue(call));
+    }
+
+    private void queue(TargetCall call) {
         synchronized (waiting) {
-            waiting.add(call);
+            // A call that ended while it waited for its claim has left the queues for good.
+            if (!call.isReleased()) {
+                waiting.add(call);
+            }
         }
         startNext();
     }
