--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /** Settings of a sidecar. */
 public final class SidecarSettings {
@@ -32,6 +33,7 @@
     private final int maxRunning;
     private final Duration stopGrace;
     private final OpeningHours openingHours;
+    private final Optional<InetSocketAddress> platformAddress;
 
     private SidecarSettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -46,6 +48,7 @@
         this.maxRunning = builder.maxRunning;
         this.stopGrace = builder.stopGrace;
         this.openingHours = builder.openingHours;
+        this.platformAddress = Optional.ofNullable(builder.platformAddress);
     }
 
     /** Starts settings. */
@@ -118,6 +121,11 @@
         return openingHours;
     }
 
+    /** Returns the address of the platform's object API, if the sidecar uses it. */
+    public Optional<InetSocketAddress> platformAddress() {
+        return platformAddress;
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
@@ -132,6 +140,7 @@
         private int maxRunning = DEFAULT_MAX_RUNNING;
         private Duration stopGrace = DEFAULT_STOP_GRACE;
         private OpeningHours openingHours = OpeningHours.ALWAYS;
+        private InetSocketAddress platformAddress;
 
         private Builder() {}
 
@@ -207,6 +216,12 @@
             return this;
         }
 
+        /** Sets the address of the platform's object API. */
+        public Builder platformAddress(InetSocketAddress value) {
+            this.platformAddress = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public SidecarSettings build() {
             return new SidecarSettings(this);
