--- a/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
@@ -119,6 +119,9 @@
             }
         }
 
+        @Override
+        public void established() {}
+
         @Override
         public boolean isOpen() {
             return !pair.broken;
