Write messages of a link in the order of their sending

Cause: a message sent on the event loop was written at once, even while messages sent before it by another thread still waited in the loop's queue. BodySender sends its first chunks on the parser's thread and the next ones on the event loop, so chunks of a long body could change places and the call failed with "body bytes at 65536 instead of 32768".

Conclusion: a message runs at once on the event loop only if none waits.

--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkHandler.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tinylog.Logger;
 
 /** Turns frames into messages and a channel into a {@link Link}. */
@@ -73,6 +74,7 @@
     /** Link over one channel. Messages sent within one event-loop turn share one flush. */
     private final class ChannelLink implements Link {
         private final Channel channel;
+        private final AtomicInteger waiting = new AtomicInteger();
 
         ChannelLink(Channel channel) {
             this.channel = channel;
@@ -111,12 +113,17 @@
             return remoteAddress();
         }
 
+        /** Runs a task at once only if none waits, because messages must be written in the order of their sending. */
         private void onEventLoop(Runnable task) {
-            if (channel.eventLoop().inEventLoop()) {
+            if (channel.eventLoop().inEventLoop() && waiting.get() == 0) {
                 task.run();
-            } else {
-                channel.eventLoop().execute(task);
+                return;
             }
+            waiting.incrementAndGet();
+            channel.eventLoop().execute(() -> {
+                waiting.decrementAndGet();
+                task.run();
+            });
         }
 
         private void scheduleFlush() {
