--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/process/StopSignal.java
@@ -0,0 +1,75 @@
+package io.endiveshed.base.process;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Waits for SIGTERM or SIGINT, so that a process can stop cleanly and exit with code 0. A second signal ends the process
+ * at once.
+ *
+ * <pre>{@code
+ * StopSignal signal = StopSignal.install();
+ * daemon.start();
+ * signal.await();
+ * daemon.stop();
+ * }</pre>
+ */
+public final class StopSignal {
+    /** Exit code of a process that a second signal ended before it had stopped. */
+    public static final int FORCED_EXIT_CODE = 130;
+
+    private static final String[] SIGNALS = {"TERM", "INT"};
+
+    private final CountDownLatch received = new CountDownLatch(1);
+    private final AtomicBoolean stopping = new AtomicBoolean();
+
+    private StopSignal() {}
+
+    /** Takes over the signals from the Java runtime, which would exit with another code than 0. */
+    public static StopSignal install() {
+        StopSignal signal = new StopSignal();
+        for (String name : SIGNALS) {
+            signal.handle(name);
+        }
+        return signal;
+    }
+
+    /** Waits for the first signal. */
+    public void await() throws InterruptedException {
+        received.await();
+    }
+
+    /** Waits for the first signal, at most for a time; tells whether it has come. */
+    public boolean await(Duration timeout) throws InterruptedException {
+        return received.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void onSignal() {
+        if (stopping.getAndSet(true)) {
+            Runtime.getRuntime().halt(FORCED_EXIT_CODE);
+        }
+        received.countDown();
+    }
+
+    /** Uses reflection, because the compiler warns of any direct use of the class, and warnings are errors here. */
+    private void handle(String name) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(
+                    StopSignal.class.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
+                        if (method.getName().equals("handle")) {
+                            onSignal();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("cannot handle SIG" + name + "; run a JDK with module jdk.unsupported", e);
+        }
+    }
+}
--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/process/package-info.java
@@ -0,0 +1,2 @@
+/** Life cycle of a process. */
+package io.endiveshed.base.process;
--- a/cli/src/main/java/io/endiveshed/cli/Main.java
+++ b/cli/src/main/java/io/endiveshed/cli/Main.java
@@ -3,12 +3,30 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.ServiceLoader;
 import java.util.stream.Collectors;
 
 /** Entry point of the {@code endiveshed} binary. */
 public final class Main {
-    private static final int USAGE_ERROR = 2;
+    private static final String VERSION = "0.1.0";
+    private static final String HELP = """
+            endiveshed serves requests from a shared fleet of language models.
+
+            usage: endiveshed COMMAND [OPTIONS]
+
+            commands:
+            @commands@
+
+            options:
+              --help     show this help; "endiveshed COMMAND --help" explains a command
+              --version  show the version
+
+            examples:
+              endiveshed check models.yaml accounts.yaml
+              endiveshed apply --platform http://127.0.0.1:9000 models.yaml accounts.yaml
+              endiveshed status --platform http://127.0.0.1:9000
+              endiveshed entry --settings entry.yaml""";
 
     private Main() {}
 
@@ -21,23 +39,43 @@
         List<Command> commands = ServiceLoader.load(Command.class).stream()
                 .map(ServiceLoader.Provider::get)
                 .toList();
-        if (arguments.isEmpty() || arguments.get(0).equals("--help")) {
-            out.println(help(commands));
-            return 0;
-        }
-        String name = arguments.get(0);
-        for (Command command : commands) {
-            if (command.name().equals(name)) {
-                return command.run(arguments.subList(1, arguments.size()), out, err);
+        String first = arguments.isEmpty() ? "--help" : arguments.get(0);
+        switch (first) {
+            case "--help", "-h", "help" -> {
+                out.println(help(commands));
+                return ExitCode.OK;
             }
+            case "--version" -> {
+                out.println("endiveshed " + VERSION);
+                return ExitCode.OK;
+            }
+            default -> {
+                return runCommand(commands, first, arguments.subList(1, arguments.size()), out, err);
+            }
+        }
+    }
+
+    private static int runCommand(
+            List<Command> commands, String name, List<String> arguments, PrintStream out, PrintStream err)
+            throws Exception {
+        Optional<Command> command = commands.stream()
+                .filter(candidate -> candidate.name().equals(name))
+                .findFirst();
+        if (command.isEmpty()) {
+            err.println("error: unknown command \"" + name + "\"");
+            err.println("remedy: use one of "
+                    + commands.stream().map(Command::name).sorted().collect(Collectors.joining(", "))
+                    + "; \"endiveshed --help\" explains them");
+            return ExitCode.USAGE;
         }
-        err.println("endiveshed: unknown command \"" + name + "\"; see endiveshed --help");
-        return USAGE_ERROR;
+        return command.get().run(arguments, out, err);
     }
 
     private static String help(List<Command> commands) {
-        return commands.stream()
-                .map(command -> String.format("  %-8s %s", command.name(), command.summary()))
-                .collect(Collectors.joining("\n", "usage: endiveshed <command> [options]\n\ncommands:\n", ""));
+        return HELP.replace(
+                "@commands@",
+                commands.stream()
+                        .map(command -> String.format("  %-8s %s", command.name(), command.summary()))
+                        .collect(Collectors.joining("\n")));
     }
 }
--- /dev/null
+++ b/cli/src/main/java/io/endiveshed/cli/internal/EntryCommand.java
@@ -0,0 +1,63 @@
+package io.endiveshed.cli.internal;
+
+import io.endiveshed.base.process.StopSignal;
+import io.endiveshed.cli.Arguments;
+import io.endiveshed.cli.Command;
+import io.endiveshed.cli.ExitCode;
+import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.entry.EntryDaemon;
+import io.endiveshed.entry.EntrySettings;
+import io.endiveshed.entry.EntrySettingsFile;
+import io.endiveshed.settings.SettingsError;
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.OptionalInt;
+import org.kohsuke.args4j.Option;
+
+/** Runs an entry daemon. */
+public final class EntryCommand implements Command {
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public String summary() {
+        return "run an entry daemon";
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) throws InterruptedException {
+        Options options = new Options();
+        OptionalInt over = options.parse("endiveshed entry --settings FILE", """
+                        Runs an entry daemon until SIGTERM or SIGINT, then stops cleanly with exit code 0. A second
+                        signal ends the process at once. Exit code 3 if the settings have faults; nothing is opened
+                        then.""", arguments, out, err);
+        if (over.isPresent()) {
+            return over.getAsInt();
+        }
+        Either<List<SettingsError>, EntrySettings> settings = EntrySettingsFile.read(options.settings);
+        if (settings.isLeft()) {
+            return FileErrors.print(settings.getLeft(), "the entry daemon was not started", err);
+        }
+        serve(settings.get(), out);
+        return ExitCode.OK;
+    }
+
+    private static void serve(EntrySettings settings, PrintStream out) throws InterruptedException {
+        StopSignal signal = StopSignal.install();
+        EntryDaemon daemon = new EntryDaemon(settings, new Blackboard());
+        daemon.start();
+        out.println("entry " + settings.instance() + " ready: callers on port " + daemon.callerPort()
+                + ", links on port " + daemon.linkPort());
+        signal.await();
+        daemon.stop();
+    }
+
+    private static final class Options extends Arguments {
+        @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this daemon in YAML")
+        private Path settings;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/endiveshed/cli/internal/StatusCommand.java
@@ -0,0 +1,75 @@
+package io.endiveshed.cli.internal;
+
+import io.endiveshed.cli.Arguments;
+import io.endiveshed.cli.Command;
+import io.endiveshed.cli.ExitCode;
+import io.endiveshed.coordination.config.ConfigurationHead;
+import io.endiveshed.entry.EntryStatus;
+import io.endiveshed.ports.platform.StoreError;
+import io.endiveshed.ports.platform.StoredObject;
+import io.vavr.control.Either;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.kohsuke.args4j.Option;
+
+/** Shows which process is on which revision, and what is wrong. */
+public final class StatusCommand implements Command {
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String summary() {
+        return "show the revision of every entry daemon and what is wrong";
+    }
+
+    @Override
+    public int run(List<String> arguments, PrintStream out, PrintStream err) {
+        Options options = new Options();
+        OptionalInt over = options.parse("endiveshed status --platform URL", """
+                        Shows the current revision of the configuration and every entry daemon that reported within a
+                        day, those with a problem first. Entries report about once a minute. Exit code 0 if nothing is
+                        wrong, else 1.""", arguments, out, err);
+        if (over.isPresent()) {
+            return over.getAsInt();
+        }
+        try (PlatformConnection connection = new PlatformConnection(options.platform)) {
+            return show(connection, out, err);
+        } catch (IllegalArgumentException e) {
+            err.println("error: " + e.getMessage());
+            return ExitCode.USAGE;
+        }
+    }
+
+    private static int show(PlatformConnection connection, PrintStream out, PrintStream err) {
+        Either<StoreError, Optional<StoredObject>> head =
+                PlatformConnection.await(connection.platform().get(ConfigurationHead.KEY));
+        Either<StoreError, List<StoredObject>> entries =
+                PlatformConnection.await(connection.platform().list(EntryStatus.KIND, ""));
+        if (head.isLeft() || entries.isLeft()) {
+            err.println("error: the platform cannot be reached or refuses the calls");
+            err.println(
+                    "remedy: check --platform and the platform's object API; entries go on with their configuration");
+            return ExitCode.FAILED;
+        }
+        long revision = head.get()
+                .map(object -> ConfigurationHead.read(object.value()).revision().value())
+                .orElse(0L);
+        StatusReport report = StatusReport.of(
+                revision,
+                entries.get().stream()
+                        .map(object -> EntryStatus.read(object.value()))
+                        .toList(),
+                System.currentTimeMillis());
+        report.lines().forEach(out::println);
+        return report.isHealthy() ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private static final class Options extends Arguments {
+        @Option(name = "--platform", metaVar = "URL", required = true, usage = "URL of the platform's object API")
+        private String platform;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/endiveshed/cli/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The production commands. */
+package io.endiveshed.cli.internal;
--- a/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationExchange.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationExchange.java
@@ -45,6 +45,11 @@
         active.onActivation(this::activated);
     }
 
+    /** Returns the revision in effect in this process. */
+    public Revision revision() {
+        return active.revision();
+    }
+
     /** Called when a link is open and both ends know who the other is. */
     public void opened(ConfigurationPeer peer) {
         synchronized (this) {
--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -1,10 +1,15 @@
 package io.endiveshed.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.config.ActiveConfiguration;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
+import io.endiveshed.entry.internal.PlatformAgent;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
 import io.endiveshed.net.link.LinkServer;
@@ -12,6 +17,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +45,7 @@
     private final ThreadPoolExecutor parsers;
     private final HttpServer callers;
     private final LinkServer links;
+    private final Optional<PlatformAgent> platform;
 
     /** Makes a daemon that reads the configuration from the blackboard and writes the fleet to it. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
@@ -47,7 +54,15 @@
         this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
         this.parsers = new ThreadPoolExecutor(
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
-        SidecarLinks sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard);
+        Incarnation incarnation = Incarnation.random(random);
+        SidecarLinks sidecars = new SidecarLinks(settings, incarnation, random, blackboard);
+        MetricRegistry metrics = new MetricRegistry();
+        ActiveConfiguration active = new ActiveConfiguration(blackboard.configuration(), metrics);
+        ConfigurationExchange exchange = new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics);
+        sidecars.configuration(exchange);
+        this.platform = settings.platformAddress()
+                .map(address ->
+                        new PlatformAgent(settings, address, incarnation, loops, blackboard, active, random, metrics));
         Dispatcher dispatcher = new Dispatcher(
                 sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops);
         sidecars.callMessages(dispatcher);
@@ -60,6 +75,7 @@
     public void start() {
         links.start();
         callers.start();
+        platform.ifPresent(PlatformAgent::start);
         Logger.info(
                 "entry {} started: callers on port {}, links on port {}",
                 settings.instance(),
@@ -79,6 +95,7 @@
 
     /** Stops accepting and closes every connection. */
     public void stop() {
+        platform.ifPresent(PlatformAgent::stop);
         callers.stop();
         links.stop();
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -6,12 +6,14 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.coordination.membership.TargetLoad;
 import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.net.link.LinkPeer;
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
@@ -35,6 +37,7 @@
     private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
     private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
     private CallMessages callMessages;
+    private ConfigurationExchange configuration;
 
     /** Makes the registry of links of one entry incarnation. */
     public SidecarLinks(
@@ -50,6 +53,11 @@
         this.callMessages = receiver;
     }
 
+    /** Sets the exchange of the configuration; must be called before the first link opens. */
+    public void configuration(ConfigurationExchange exchange) {
+        this.configuration = exchange;
+    }
+
     /** Returns the link for a body of the given length, if the sidecar is linked. */
     public Optional<Link> link(TargetId target, long bodyBytes) {
         Sidecar sidecar = sidecars.get(target);
@@ -84,6 +92,8 @@
         TargetId target = targets.get(link);
         if (target == null) {
             introduce(link, message);
+        } else if (new LinkPeer(link).deliver(message, configuration)) {
+            return;
         } else if (message instanceof Message.LoadReport report) {
             updateLoad(target, report);
         } else if (message instanceof Message.Leaving) {
@@ -108,6 +118,7 @@
             blackboard.fleet().update(fleet -> fleet.without(target));
             Logger.info("target {} is not linked any more", target);
         }
+        configuration.closed(new LinkPeer(link));
         callMessages.linkClosed(target);
     }
 
@@ -137,6 +148,9 @@
         link.send(new Message.Welcome(
                 blackboard.configuration().read().revision().value(),
                 settings.linkSecret().proof("entry", hello.nonce())));
+        if (hello.lane() == Lane.LONG) {
+            configuration.opened(new LinkPeer(link));
+        }
         if (sidecar.hasAllLanes()) {
             blackboard.fleet().update(fleet -> fleet.with(view(target, hello)));
             Logger.info("target {} serves {}", target, hello.serves());
--- a/local/src/main/java/io/endiveshed/local/LocalCommand.java
+++ b/local/src/main/java/io/endiveshed/local/LocalCommand.java
@@ -1,9 +1,9 @@
 package io.endiveshed.local;
 
+import io.endiveshed.base.process.StopSignal;
 import io.endiveshed.cli.Command;
 import java.io.PrintStream;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -37,13 +37,14 @@
 
     private static void serve(int port, PrintStream out) throws InterruptedException {
         LocalDeployment deployment = new LocalDeployment(port);
+        StopSignal signal = StopSignal.install();
         deployment.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(deployment::stop, "stop"));
         String url = "http://127.0.0.1:" + deployment.port();
         out.println("ready at " + url + " - try: curl " + url + "/v1/completions -H 'Authorization: Bearer "
                 + LocalDeployment.KEY + "' -d '{\"model\":\"" + LocalDeployment.MODEL
                 + "\",\"prompt\":\"hello\",\"max_tokens\":8}'");
-        new CountDownLatch(1).await();
+        signal.await();
+        deployment.stop();
     }
 
     private static final class Options {
--- a/settings/src/main/java/io/endiveshed/settings/Section.java
+++ b/settings/src/main/java/io/endiveshed/settings/Section.java
@@ -163,16 +163,28 @@
 
     /** Reads a list of texts; missing is empty. */
     public List<String> texts(String key) {
-        List<String> texts = new ArrayList<>();
+        return values(key, Function.identity());
+    }
+
+    /**
+     * Reads a list through a function that throws {@link IllegalArgumentException} with the remedy for text that it does
+     * not accept; missing is empty. Faults name the line of the item.
+     */
+    public <T> List<T> values(String key, Function<String, T> reader) {
+        List<T> read = new ArrayList<>();
         for (Node item : items(key)) {
-            if (item instanceof ScalarNode scalar) {
-                texts.add(scalar.getValue());
-            } else {
+            String text = item instanceof ScalarNode scalar ? scalar.getValue() : "a nested value";
+            try {
+                if (!(item instanceof ScalarNode)) {
+                    throw new IllegalArgumentException("write one value per item");
+                }
+                read.add(reader.apply(text));
+            } catch (IllegalArgumentException e) {
                 errors.add(new SettingsError(
-                        file, line(item), "found a nested value in \"" + name(key) + "\"", "write one value per item"));
+                        file, line(item), "found \"" + text + "\" in \"" + name(key) + "\"", e.getMessage()));
             }
         }
-        return texts;
+        return read;
     }
 
     /** Reads a list of sections; missing is empty. */
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,6 +1,12 @@
 package io.endiveshed.sidecar;
 
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.time.ExecutorScheduler;
+import io.endiveshed.coordination.blackboard.Cell;
+import io.endiveshed.coordination.config.ActiveConfiguration;
+import io.endiveshed.coordination.config.Configuration;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.protocol.Lane;
@@ -44,9 +50,13 @@
         Incarnation incarnation = Incarnation.random(random);
         LinkDialer dialer = new LinkDialer(loops);
         TargetCalls calls = new TargetCalls(settings, incarnation, target);
+        MetricRegistry metrics = new MetricRegistry();
+        ActiveConfiguration active = new ActiveConfiguration(new Cell<>(Configuration.NONE), metrics);
+        ConfigurationExchange configuration = new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics);
         for (InetSocketAddress entry : settings.entries()) {
             for (Lane lane : Lane.values()) {
-                entries.add(new EntryLink(settings, incarnation, entry, lane, dialer, loops, random, calls));
+                entries.add(
+                        new EntryLink(settings, incarnation, entry, lane, dialer, loops, random, calls, configuration));
             }
         }
     }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
@@ -101,6 +101,23 @@
         return platformAddress;
     }
 
+    /** Returns the same settings with other entries. */
+    public SidecarSettings withEntries(List<InetSocketAddress> value) {
+        Builder builder = builder()
+                .instance(instance)
+                .region(region)
+                .failureDomain(failureDomain)
+                .targetKind(targetKind)
+                .serves(serves)
+                .targetAddress(targetAddress)
+                .entries(value)
+                .linkSecret(linkSecret)
+                .kvCapacityTokens(kvCapacityTokens)
+                .maxRunning(maxRunning);
+        platformAddress.ifPresent(builder::platformAddress);
+        return builder.build();
+    }
+
     /** Builder of settings; every value without a default must be set. */
     public static final class Builder {
         private InstanceId instance;
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettingsFile.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettingsFile.java
@@ -35,9 +35,7 @@
     private static Optional<SidecarSettings> settings(Section root, List<SettingsError> errors) {
         ProcessSettings process = ProcessSettings.read(root);
         SidecarSettings.Builder builder = SidecarSettings.builder();
-        List<InetSocketAddress> entries = root.texts("entries").stream()
-                .flatMap(text -> ProcessSettings.address(root, "entries", Optional.of(text)).stream())
-                .toList();
+        List<InetSocketAddress> entries = root.values("entries", ProcessSettings::parseAddress);
         if (!root.has("entries") && !root.has("platform")) {
             root.fault(
                     "entries",
@@ -66,12 +64,11 @@
         kind.ifPresent(builder::targetKind);
         ProcessSettings.address(target, "address", target.required("address", "127.0.0.1:8000"))
                 .ifPresent(builder::targetAddress);
-        List<String> serves = target.texts("serves");
-        if (serves.isEmpty()) {
+        List<String> serves = target.values("serves", name -> checkName(kind, name));
+        if (!target.has("serves")) {
             target.fault(
                     "serves", "no name is given under \"target.serves\"", "add a line such as \"serves: [depot-app]\"");
         }
-        serves.forEach(name -> target.value("serves", Optional.of(name), text -> checkName(kind, text)));
         builder.serves(serves);
         if (kind.equals(Optional.of(TargetKind.ENGINE))) {
             Optional<String> capacity = target.required("kv-capacity-tokens", "4000000");
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -1,9 +1,11 @@
 package io.endiveshed.sidecar.internal;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.net.link.LinkPeer;
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
@@ -30,6 +32,8 @@
     private final ScheduledExecutorService timers;
     private final RandomGenerator random;
     private final TargetCalls calls;
+    private final ConfigurationExchange configuration;
+    private final RevisionGate gate;
     private byte[] nonce = new byte[0];
     private long backoffMillis = MIN_BACKOFF_MILLIS;
     private long sequence;
@@ -47,7 +51,8 @@
             LinkDialer dialer,
             ScheduledExecutorService timers,
             RandomGenerator random,
-            TargetCalls calls) {
+            TargetCalls calls,
+            ConfigurationExchange configuration) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.entry = entry;
@@ -56,6 +61,8 @@
         this.timers = timers;
         this.random = random;
         this.calls = calls;
+        this.configuration = configuration;
+        this.gate = new RevisionGate(configuration, calls::received);
     }
 
     /** Starts to connect. */
@@ -90,8 +97,8 @@
             from.close();
         } else if (message instanceof Message.Ping ping) {
             from.send(new Message.Pong(ping.sequence()));
-        } else {
-            calls.received(from, message);
+        } else if (!new LinkPeer(from).deliver(message, configuration)) {
+            gate.received(from, message);
         }
     }
 
@@ -101,6 +108,8 @@
             reports.cancel(false);
         }
         link = null;
+        configuration.closed(new LinkPeer(closed));
+        gate.closed(closed);
         calls.linkClosed(closed);
         reconnectLater();
     }
@@ -124,7 +133,7 @@
                 settings.serves(),
                 lane,
                 settings.kvCapacityTokens(),
-                0,
+                configuration.revision().value(),
                 nonce,
                 settings.linkSecret().proof("sidecar", challenge.nonce())));
     }
@@ -137,6 +146,9 @@
         }
         welcomed = true;
         backoffMillis = MIN_BACKOFF_MILLIS;
+        if (lane == Lane.LONG) {
+            configuration.opened(new LinkPeer(from));
+        }
         reports = timers.scheduleAtFixedRate(
                 () -> from.send(calls.report(from, ++sequence)), 0, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/sidecar/src/test/java/io/endiveshed/sidecar/SidecarSettingsFileTest.java
+++ b/sidecar/src/test/java/io/endiveshed/sidecar/SidecarSettingsFileTest.java
@@ -44,7 +44,7 @@
         assertThat(errors.stream().map(SettingsError::found))
                 .containsExactly(
                         "neither \"entries\" nor \"platform\" is given",
-                        "found \"/x\" for \"target.serves\"",
+                        "found \"/x\" in \"target.serves\"",
                         "\"target.kv-capacity-tokens\" is missing",
                         "found \"0\" for \"target.max-running\"")
                 .inOrder();
