--- a/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationController.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationController.java
@@ -37,6 +37,12 @@
      */
     public static final Duration COALESCING = Duration.ofSeconds(4);
 
+    /**
+     * Time until a call that the budget refused is made again. Nothing was sent, so this is not lengthened; the budget
+     * itself backs off from a store that refuses calls.
+     */
+    private static final Duration BUDGET_RETRY = Duration.ofMillis(500);
+
     private static final Duration MIN_BACKOFF = Duration.ofMillis(250);
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(8);
 
@@ -159,6 +165,10 @@
             ObjectVersion version,
             String name,
             Either<StoreError, Optional<StoredObject>> result) {
+        if (result.isLeft() && result.getLeft() == StoreError.BUDGET_SPENT) {
+            scheduler.schedule(jittered(BUDGET_RETRY), () -> load(head, version));
+            return;
+        }
         if (result.isLeft()) {
             retryLater(result.getLeft());
             return;
@@ -195,7 +205,11 @@
     }
 
     private void retryLater(StoreError error) {
-        if (error != StoreError.BUDGET_SPENT && error != StoreError.TOO_OLD) {
+        if (error == StoreError.BUDGET_SPENT) {
+            scheduler.schedule(jittered(BUDGET_RETRY), this::readHead);
+            return;
+        }
+        if (error != StoreError.TOO_OLD) {
             following = false;
         }
         scheduler.schedule(jittered(backoff), this::readHead);
--- a/entry/src/main/java/io/endiveshed/entry/internal/StatusReporter.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/StatusReporter.java
@@ -18,6 +18,9 @@
     /** Mean time between reports; 390 entries make 6.5 writes per second. */
     public static final Duration INTERVAL = Duration.ofSeconds(60);
 
+    /** Mean time from the start to the first report; sidecars have linked and the configuration is read by then. */
+    private static final Duration FIRST_REPORT = Duration.ofSeconds(5);
+
     private final Scheduler scheduler;
     private final ObjectStore store;
     private final RandomGenerator random;
@@ -36,7 +39,7 @@
 
     /** Starts to report. */
     public void start() {
-        report();
+        reportLater(FIRST_REPORT);
     }
 
     /** Stops reporting. */
--- /dev/null
+++ b/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
@@ -0,0 +1,138 @@
+package io.endiveshed.local;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
+import io.endiveshed.cli.ExitCode;
+import io.endiveshed.cli.internal.ApplyCommand;
+import io.endiveshed.cli.internal.StatusCommand;
+import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.entry.EntryDaemon;
+import io.endiveshed.entry.EntrySettings;
+import io.endiveshed.net.link.LinkSecret;
+import io.endiveshed.sidecar.SidecarDaemon;
+import io.endiveshed.sidecar.SidecarSettings;
+import io.endiveshed.standins.BookingStandIn;
+import io.endiveshed.standins.InMemoryObjectStore;
+import io.endiveshed.standins.PlatformStandIn;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the way of a configuration from the command line through the platform, an entry and a sidecar and back. */
+final class PlatformDeploymentTest {
+    private static final String EXAMPLE = "../docs/examples/configuration.yaml";
+    private static final LinkSecret SECRET = new LinkSecret("platform-secret");
+    private static final long PATIENCE_SECONDS = 60;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final InMemoryObjectStore store = new InMemoryObjectStore(new ExecutorScheduler(loops));
+    private final PlatformStandIn platform = new PlatformStandIn(loops, loopback(0), store);
+    private final BookingStandIn bookings = new BookingStandIn(loops, loopback(0));
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void start() {
+        platform.start();
+        bookings.start();
+    }
+
+    @AfterEach
+    void stop() {
+        platform.stop();
+        bookings.stop();
+        loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    @Test
+    void anAppliedConfigurationReachesAnEntryThatRestartsDuringAnOutage() {
+        Blackboard first = new Blackboard();
+        EntryDaemon entry = entry(first, 0);
+        entry.start();
+        int linkPort = entry.linkPort();
+        SidecarDaemon sidecar = sidecar(linkPort);
+        sidecar.start();
+        assertThat(new ApplyCommand().run(List.of("--platform", url(), EXAMPLE), print(), print()))
+                .isEqualTo(ExitCode.OK);
+        await(() -> first.configuration().read().revision().value() == 1);
+        await(() -> {
+            new StatusCommand().run(List.of("--platform", url()), print(), print());
+            return out.toString(StandardCharsets.UTF_8).contains("entry-1");
+        });
+
+        entry.stop();
+        store.faults().outage(true);
+        Blackboard second = new Blackboard();
+        EntryDaemon restarted = entry(second, linkPort);
+        restarted.start();
+        await(() -> second.configuration().read().revision().value() == 1);
+        assertThat(second.configuration().read().accounts()).hasSize(1);
+        assertThat(new StatusCommand().run(List.of("--platform", url()), print(), print()))
+                .isEqualTo(ExitCode.FAILED);
+        sidecar.stop();
+        restarted.stop();
+    }
+
+    private EntryDaemon entry(Blackboard blackboard, int linkPort) {
+        return new EntryDaemon(
+                EntrySettings.builder()
+                        .instance(new InstanceId("entry-1"))
+                        .region(new Region("north"))
+                        .failureDomain(new FailureDomain("north-a"))
+                        .callerAddress(loopback(0))
+                        .linkAddress(loopback(linkPort))
+                        .linkSecret(SECRET)
+                        .platformAddress(loopback(platform.port()))
+                        .build(),
+                blackboard);
+    }
+
+    private SidecarDaemon sidecar(int linkPort) {
+        return new SidecarDaemon(SidecarSettings.builder()
+                .instance(new InstanceId("depot-1"))
+                .region(new Region("north"))
+                .failureDomain(new FailureDomain("north-a"))
+                .targetKind(TargetKind.SERVICE)
+                .serves(List.of("depot-app"))
+                .targetAddress(loopback(bookings.port()))
+                .entries(List.of(loopback(linkPort)))
+                .linkSecret(SECRET)
+                .build());
+    }
+
+    private String url() {
+        return "http://127.0.0.1:" + platform.port();
+    }
+
+    private PrintStream print() {
+        return new PrintStream(out, true, StandardCharsets.UTF_8);
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime() - start).isLessThan(TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+        }
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+}
