Name the remedy when an entry cannot listen

Cause: a port in use ended the entry command with a stack trace.

Conclusion: start-up faults have the same form as faults of settings.

--- a/cli/src/main/java/io/endiveshed/cli/Arguments.java
+++ b/cli/src/main/java/io/endiveshed/cli/Arguments.java
@@ -29,8 +29,8 @@
      */
     public OptionalInt parse(
             String usage, String description, List<String> arguments, PrintStream out, PrintStream err) {
-        CmdLineParser parser =
-                new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(HELP_WIDTH));
+        CmdLineParser parser = new CmdLineParser(
+                this, ParserProperties.defaults().withUsageWidth(HELP_WIDTH).withShowDefaults(false));
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
--- a/cli/src/main/java/io/endiveshed/cli/internal/EntryCommand.java
+++ b/cli/src/main/java/io/endiveshed/cli/internal/EntryCommand.java
@@ -42,18 +42,32 @@
         if (settings.isLeft()) {
             return FileErrors.print(settings.getLeft(), "the entry daemon was not started", err);
         }
-        serve(settings.get(), out);
-        return ExitCode.OK;
+        return serve(settings.get(), out, err);
     }
 
-    private static void serve(EntrySettings settings, PrintStream out) throws InterruptedException {
+    private static int serve(EntrySettings settings, PrintStream out, PrintStream err) throws InterruptedException {
         StopSignal signal = StopSignal.install();
         EntryDaemon daemon = new EntryDaemon(settings, new Blackboard());
-        daemon.start();
+        if (!start(daemon, err)) {
+            return ExitCode.FAILED;
+        }
         out.println("entry " + settings.instance() + " ready: callers on port " + daemon.callerPort()
                 + ", links on port " + daemon.linkPort());
         signal.await();
         daemon.stop();
+        return ExitCode.OK;
+    }
+
+    /** The transport throws checked exceptions such as BindException without declaring them. */
+    private static boolean start(EntryDaemon daemon, PrintStream err) {
+        try {
+            daemon.start();
+            return true;
+        } catch (Exception e) {
+            err.println("error: the daemon cannot listen: " + e.getMessage());
+            err.println("remedy: choose free ports and addresses of this instance in \"callers\" and \"links\"");
+            return false;
+        }
     }
 
     private static final class Options extends Arguments {
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
@@ -15,6 +15,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.OptionHandlerFilter;
+import org.kohsuke.args4j.ParserProperties;
 
 /** Entry point of the {@code endiveshed-sidecar} binary. */
 public final class SidecarMain {
@@ -37,7 +38,8 @@
 
     static int run(List<String> arguments, PrintStream out, PrintStream err) throws InterruptedException {
         Options options = new Options();
-        CmdLineParser parser = new CmdLineParser(options);
+        CmdLineParser parser =
+                new CmdLineParser(options, ParserProperties.defaults().withShowDefaults(false));
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
