--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -2,7 +2,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.config.ActiveConfiguration;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallCounters;
@@ -10,6 +13,7 @@
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.DrainGate;
+import io.endiveshed.entry.internal.PlatformAgent;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
 import io.endiveshed.net.http.MetricsPage;
@@ -23,6 +27,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -79,6 +84,7 @@
     private final LinkServer links;
     private final Dispatcher dispatcher;
     private final MetricRegistry metrics = new MetricRegistry();
+    private final Optional<PlatformAgent> platform;
 
     /** Makes a daemon without the platform's list of instances. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
@@ -101,8 +107,14 @@
         this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
         this.parsers = new ThreadPoolExecutor(
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
+        Incarnation incarnation = Incarnation.random(random);
         this.table = new TargetTable(blackboard.fleet(), SystemNanoClock.INSTANCE, settings.place());
-        this.sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table);
+        this.sidecars = new SidecarLinks(settings, incarnation, random, blackboard, table);
+        ActiveConfiguration active = new ActiveConfiguration(blackboard.configuration(), metrics);
+        sidecars.configuration(new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics));
+        this.platform = settings.platformAddress()
+                .map(address ->
+                        new PlatformAgent(settings, address, incarnation, loops, blackboard, active, random, metrics));
         CallCounters counters = new CallCounters(metrics);
         this.dispatcher = new Dispatcher(
                 sidecars,
@@ -126,6 +138,7 @@
         every(TargetTable.TICK_INTERVAL.toMillis(), table::tick);
         every(TimeUnit.SECONDS.toMillis(LIST_INTERVAL_SECONDS), this::readList);
         every(HOURS_INTERVAL_MILLIS, this::followHours);
+        platform.ifPresent(PlatformAgent::start);
         Logger.info(
                 "entry {} started: callers on port {}, links on port {}",
                 settings.instance(),
@@ -157,6 +170,7 @@
             return;
         }
         long start = System.nanoTime();
+        platform.ifPresent(PlatformAgent::stop);
         gate.drain();
         callers.drain();
         sidecars.announceLeaving(settings.stopGrace());
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -6,6 +6,7 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.coordination.membership.TargetLoad;
 import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetTable;
@@ -13,6 +14,7 @@
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.net.link.LinkPeer;
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.protocol.ProtocolLimits;
@@ -40,6 +42,7 @@
     private final Map<TargetId, Integer> outstanding = new ConcurrentHashMap<>();
     private CallMessages callMessages;
     private volatile long leavingGraceMillis = NOT_LEAVING;
+    private ConfigurationExchange configuration;
 
     /** Makes the registry of links of one entry incarnation. */
     public SidecarLinks(
@@ -66,6 +69,11 @@
         targets.keySet().forEach(link -> link.send(new Message.Leaving(leavingGraceMillis)));
     }
 
+    /** Sets the exchange of the configuration; must be called before the first link opens. */
+    public void configuration(ConfigurationExchange exchange) {
+        this.configuration = exchange;
+    }
+
     /** Returns the link for a body of the given length, if the sidecar is linked. */
     public Optional<Link> link(TargetId target, long bodyBytes) {
         Sidecar sidecar = sidecars.get(target);
@@ -102,6 +110,8 @@
         TargetId target = targets.get(link);
         if (target == null) {
             introduce(link, message);
+        } else if (new LinkPeer(link).deliver(message, configuration)) {
+            return;
         } else if (message instanceof Message.LoadReport report) {
             table.report(target, load(report), report.leaving());
         } else if (message instanceof Message.Leaving) {
@@ -133,6 +143,7 @@
             sidecars.computeIfPresent(target, (id, present) -> present.hasNoLane() ? null : present);
             Logger.info("target {} has lost a link", target);
         }
+        configuration.closed(new LinkPeer(link));
         callMessages.linkClosed(target, link);
     }
 
@@ -169,6 +180,9 @@
         if (leavingGraceMillis != NOT_LEAVING) {
             link.send(new Message.Leaving(leavingGraceMillis));
         }
+        if (hello.lane() == Lane.LONG) {
+            configuration.opened(new LinkPeer(link));
+        }
         if (sidecar.hasAllLanes()) {
             introduce(target, hello);
         }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,11 +1,17 @@
 package io.endiveshed.sidecar;
 
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.coordination.claim.ClaimEnvironment;
 import io.endiveshed.coordination.claim.ClaimLog;
 import io.endiveshed.coordination.claim.ClaimSettings;
+import io.endiveshed.coordination.config.ActiveConfiguration;
+import io.endiveshed.coordination.config.Configuration;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.coordination.membership.EntryMesh;
 import io.endiveshed.coordination.membership.EntrySelection;
 import io.endiveshed.net.engine.HttpEnginePort;
@@ -13,10 +19,12 @@
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.ports.platform.InstanceList;
 import io.endiveshed.ports.platform.ObjectStore;
+import io.endiveshed.sidecar.internal.AbsentStore;
 import io.endiveshed.sidecar.internal.EngineOrphans;
 import io.endiveshed.sidecar.internal.EntryLinks;
 import io.endiveshed.sidecar.internal.KeyedCalls;
 import io.endiveshed.sidecar.internal.LinkContext;
+import io.endiveshed.sidecar.internal.SidecarPlatform;
 import io.endiveshed.sidecar.internal.TargetCalls;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -26,6 +34,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -59,7 +68,10 @@
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final long HOURS_INTERVAL_MILLIS = 1_000;
 
+    private static final InstanceList NO_INSTANCES = () -> CompletableFuture.completedFuture(Either.right(List.of()));
+
     private final SidecarSettings settings;
+    private final Optional<SidecarPlatform> platform;
     private final InstantSource clock;
     private final EventLoopGroup loops;
     private final HttpClient target;
@@ -68,13 +80,43 @@
     private final AtomicBoolean linked = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
 
+    /** Makes a sidecar that uses the platform that its settings name, if any. */
+    public SidecarDaemon(SidecarSettings settings) {
+        this(settings, new MetricRegistry());
+    }
+
     /** Makes a sidecar that knows only the entries of its settings. */
     public SidecarDaemon(SidecarSettings settings, ObjectStore store) {
-        this(settings, store, () -> CompletableFuture.completedFuture(Either.right(List.of())), InstantSource.system());
+        this(settings, store, NO_INSTANCES, InstantSource.system());
     }
 
     /** Makes a sidecar that connects once started; the clock decides about opening hours. */
     public SidecarDaemon(SidecarSettings settings, ObjectStore store, InstanceList list, InstantSource clock) {
+        this(settings, store, list, clock, new MetricRegistry(), Optional.empty());
+    }
+
+    private SidecarDaemon(SidecarSettings settings, MetricRegistry metrics) {
+        this(settings, metrics, settings.platformAddress().map(address -> new SidecarPlatform(address, metrics)));
+    }
+
+    private SidecarDaemon(SidecarSettings settings, MetricRegistry metrics, Optional<SidecarPlatform> platform) {
+        this(
+                settings,
+                platform.map(SidecarPlatform::store).orElseGet(AbsentStore::new),
+                platform.map(SidecarPlatform::instances).orElse(NO_INSTANCES),
+                InstantSource.system(),
+                metrics,
+                platform);
+    }
+
+    private SidecarDaemon(
+            SidecarSettings settings,
+            ObjectStore store,
+            InstanceList list,
+            InstantSource clock,
+            MetricRegistry metrics,
+            Optional<SidecarPlatform> platform) {
+        this.platform = platform;
         this.settings = settings;
         this.clock = clock;
         this.loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
@@ -82,7 +124,10 @@
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
         this.calls = new TargetCalls(settings, incarnation, target, keyedCalls(store, random, incarnation));
-        LinkContext context = new LinkContext(settings, incarnation, new LinkDialer(loops), loops, random, calls);
+        ActiveConfiguration active = new ActiveConfiguration(new Cell<>(Configuration.NONE), metrics);
+        ConfigurationExchange configuration = new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics);
+        LinkContext context =
+                new LinkContext(settings, incarnation, new LinkDialer(loops), loops, random, calls, configuration);
         EntrySelection selection = new EntrySelection(settings.instance(), settings.place());
         EntryMesh mesh = new EntryMesh(selection, EntryLinks.seeds(settings), SystemNanoClock.INSTANCE);
         this.entries = new EntryLinks(context, mesh, list);
@@ -138,6 +183,7 @@
         entries.stop();
         await(entries::isClosed, System.nanoTime(), CLOSE_TIMEOUT);
         target.stop();
+        platform.ifPresent(SidecarPlatform::stop);
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         Logger.info("sidecar of {} stopped", settings.instance());
     }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.net.link.LinkListener;
+import io.endiveshed.net.link.LinkPeer;
 import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.protocol.Lane;
 import io.endiveshed.protocol.Message;
@@ -33,6 +34,7 @@
     private final Lane lane;
     private final Predicate<Link> linksOfEntry;
     private final Runnable whenLeaving;
+    private final RevisionGate gate;
     private byte[] nonce = new byte[0];
     private long backoffMillis = MIN_BACKOFF_MILLIS;
     private long sequence;
@@ -58,6 +60,7 @@
         this.lane = lane;
         this.linksOfEntry = linksOfEntry;
         this.whenLeaving = whenLeaving;
+        this.gate = new RevisionGate(context.configuration(), context.calls()::received);
     }
 
     /** Returns the id of an entry of which only the address is known. */
@@ -131,8 +134,8 @@
             leavingKnown |= pong.sequence() == LEAVING_PING;
         } else if (message instanceof Message.Leaving) {
             whenLeaving.run();
-        } else {
-            context.calls().received(from, message);
+        } else if (!new LinkPeer(from).deliver(message, context.configuration())) {
+            gate.received(from, message);
         }
     }
 
@@ -147,6 +150,8 @@
         context.calls().linkClosed(closed);
         link = null;
         welcomed = false;
+        context.configuration().closed(new LinkPeer(closed));
+        gate.closed(closed);
         reconnectLater();
     }
 
@@ -178,7 +183,7 @@
                 settings.serves(),
                 lane,
                 settings.kvCapacityTokens(),
-                0,
+                context.configuration().revision().value(),
                 nonce,
                 settings.linkSecret().proof("sidecar", challenge.nonce())));
     }
@@ -195,6 +200,9 @@
         if (leavingGraceMillis != NOT_LEAVING) {
             sendLeaving(from);
         }
+        if (lane == Lane.LONG) {
+            context.configuration().opened(new LinkPeer(from));
+        }
         pings = every(PING_INTERVAL_MILLIS, () -> from.send(new Message.Ping(++sequence)));
         if (lane == Lane.SHORT) {
             reports = every(
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/LinkContext.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/LinkContext.java
@@ -1,6 +1,7 @@
 package io.endiveshed.sidecar.internal;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.coordination.config.ConfigurationExchange;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.sidecar.SidecarSettings;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,6 +16,7 @@
  * @param timers runs reports and reconnections
  * @param random randomness for nonces and back-off
  * @param calls calls of the target
+ * @param configuration configuration in force and its exchange with entries
  */
 public record LinkContext(
         SidecarSettings settings,
@@ -22,4 +24,5 @@
         LinkDialer dialer,
         ScheduledExecutorService timers,
         RandomGenerator random,
-        TargetCalls calls) {}
+        TargetCalls calls,
+        ConfigurationExchange configuration) {}
