--- a/coordination/src/main/java/io/endiveshed/coordination/claim/ClaimLog.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/claim/ClaimLog.java
@@ -52,13 +52,13 @@
      * @param maxWait time after which the decision is {@link ClaimDecision.Unavailable}
      */
     public CompletionStage<ClaimDecision> claim(ClaimKey key, AttemptId attempt, byte[] digest, Duration maxWait) {
-        if (!gate.open(attempt, environment.nanoClock().nanoTime())) {
+        if (!gate.open(attempt, environment.scheduler().nanoTime())) {
             return CompletableFuture.completedFuture(
                     gate.isDropped(attempt)
                             ? new ClaimDecision.Revoked()
                             : new ClaimDecision.Held(attempt, environment.incarnation()));
         }
-        environment.timers().after(ClaimSettings.MIN_RETENTION, () -> gate.forget(attempt));
+        environment.scheduler().schedule(ClaimSettings.MIN_RETENTION, () -> gate.forget(attempt));
         ClaimRecord.Claimed record = new ClaimRecord.Claimed(key, attempt, digest, environment.incarnation());
         return partition(key)
                 .submit(record, maxWait, new ClaimDecision.Unavailable(timedOut(maxWait)))
@@ -78,7 +78,7 @@
      * the attempt was revoked or is too old, and {@link #drop} gives the claim back.
      */
     public boolean start(AttemptId attempt) {
-        return gate.start(attempt, environment.nanoClock().nanoTime());
+        return gate.start(attempt, environment.scheduler().nanoTime());
     }
 
     /**
@@ -90,7 +90,7 @@
         boolean dropped = gate.drop(attempt);
         if (dropped) {
             // On a timer's thread, so that callers may hold a lock that the stages of this log need.
-            environment.timers().after(Duration.ZERO, () -> release(key, attempt));
+            environment.scheduler().schedule(Duration.ZERO, () -> release(key, attempt));
         }
         return dropped;
     }
--- a/coordination/src/main/java/io/endiveshed/coordination/claim/Partition.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/claim/Partition.java
@@ -35,7 +35,7 @@
         this.environment = environment;
         this.backoff = new Backoff(environment.random());
         this.log = new PartitionLog(service, number, settings, environment, mailbox, new LogEvents());
-        this.nextCommitNanos = environment.nanoClock().nanoTime();
+        this.nextCommitNanos = environment.scheduler().nanoTime();
     }
 
     private record Lookup(ClaimKey key, CompletableFuture<Optional<KeyTable.Claim>> result) {}
@@ -44,7 +44,7 @@
     CompletionStage<Effect> submit(ClaimRecord record, Duration maxWait, Effect whenTimeIsOver) {
         Pending pending = new Pending(record);
         mailbox.execute(() -> enqueue(pending));
-        environment.timers().after(maxWait, () -> mailbox.execute(() -> giveUp(pending, whenTimeIsOver)));
+        environment.scheduler().schedule(maxWait, () -> mailbox.execute(() -> giveUp(pending, whenTimeIsOver)));
         return pending.result();
     }
 
@@ -75,8 +75,8 @@
             pump();
         });
         environment
-                .timers()
-                .after(
+                .scheduler()
+                .schedule(
                         maxWait,
                         () -> mailbox.execute(() -> {
                             lookups.remove(lookup);
@@ -147,13 +147,13 @@
     }
 
     private void appendWhenAllowed() {
-        long wait = nextCommitNanos - environment.nanoClock().nanoTime();
+        long wait = nextCommitNanos - environment.scheduler().nanoTime();
         if (wait > 0) {
             pumpAfter(Duration.ofNanos(wait));
             return;
         }
         nextCommitNanos =
-                environment.nanoClock().nanoTime() + settings.commitInterval().toNanos();
+                environment.scheduler().nanoTime() + settings.commitInterval().toNanos();
         log.append(nextBatch());
     }
 
@@ -161,8 +161,8 @@
         if (!timerSet) {
             timerSet = true;
             environment
-                    .timers()
-                    .after(
+                    .scheduler()
+                    .schedule(
                             delay,
                             () -> mailbox.execute(() -> {
                                 timerSet = false;
@@ -255,7 +255,7 @@
         public void notWritten(List<Pending> batch) {
             // Reading to the end at once, instead of trying one entry after the other, makes up for a long absence.
             displaced = true;
-            nextCommitNanos = environment.nanoClock().nanoTime();
+            nextCommitNanos = environment.scheduler().nanoTime();
             for (int i = batch.size() - 1; i >= 0; i--) {
                 if (!batch.get(i).result().isDone()) {
                     queue.addFirst(batch.get(i));
@@ -272,8 +272,8 @@
                     .build();
             refuseClaims(new ClaimDecision.Unavailable(unavailable));
             environment
-                    .timers()
-                    .after(
+                    .scheduler()
+                    .schedule(
                             delay,
                             () -> mailbox.execute(() -> {
                                 unavailable = null;
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimFixture.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/ClaimFixture.java
@@ -24,7 +24,7 @@
 
     ClaimLog log(ClaimSettings settings) {
         return new ClaimLog(
-                SERVICE, settings, new ClaimEnvironment(store, time, time, time, random, Incarnation.random(random)));
+                SERVICE, settings, new ClaimEnvironment(store, time, time, random, Incarnation.random(random)));
     }
 
     ClaimKey key(String key) {
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/SimulatedSidecar.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/SimulatedSidecar.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.time.Scheduler;
 import io.endiveshed.ports.platform.ObjectStore;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
@@ -43,13 +44,7 @@
         this.log = new ClaimLog(
                 service,
                 settings,
-                new ClaimEnvironment(
-                        guarded(store),
-                        (delay, task) -> time.after(delay, () -> deliver(task)),
-                        time,
-                        time,
-                        random,
-                        incarnation));
+                new ClaimEnvironment(guarded(store), new ProcessTimers(), time, random, incarnation));
     }
 
     void crash() {
@@ -127,4 +122,17 @@
                     return reply;
                 });
     }
+
+    /** Timers that stand still while the process is paused and end with it. */
+    private final class ProcessTimers implements Scheduler {
+        @Override
+        public void schedule(Duration delay, Runnable action) {
+            time.schedule(delay, () -> deliver(action));
+        }
+
+        @Override
+        public long nanoTime() {
+            return time.nanoTime();
+        }
+    }
 }
--- a/coordination/src/test/java/io/endiveshed/coordination/claim/VirtualTime.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/claim/VirtualTime.java
@@ -1,12 +1,12 @@
 package io.endiveshed.coordination.claim;
 
+import io.endiveshed.base.time.Scheduler;
 import java.time.Duration;
 import java.util.PriorityQueue;
 import org.agrona.concurrent.EpochClock;
-import org.agrona.concurrent.NanoClock;
 
 /** Clock and timers that advance from task to task. */
-final class VirtualTime implements Timers, EpochClock, NanoClock {
+final class VirtualTime implements Scheduler, EpochClock {
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private long nowNanos;
     private long sequence;
@@ -20,12 +20,12 @@
     }
 
     @Override
-    public void after(Duration delay, Runnable task) {
+    public void schedule(Duration delay, Runnable task) {
         tasks.add(new Task(nowNanos + delay.toNanos(), sequence++, task));
     }
 
     void afterMillis(long millis, Runnable task) {
-        after(Duration.ofMillis(millis), task);
+        schedule(Duration.ofMillis(millis), task);
     }
 
     /** Runs all tasks that are due within a duration from now. */
--- a/local/src/main/java/io/endiveshed/local/LocalDeployment.java
+++ b/local/src/main/java/io/endiveshed/local/LocalDeployment.java
@@ -8,6 +8,7 @@
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.config.AccountConfig;
 import io.endiveshed.coordination.config.Configuration;
@@ -22,6 +23,7 @@
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.BookingStandIn;
 import io.endiveshed.standins.EngineStandIn;
+import io.endiveshed.standins.InMemoryObjectStore;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -30,6 +32,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -70,12 +73,12 @@
 
     /** Makes a deployment that answers callers on the given port; port 0 lets the system choose. */
     public LocalDeployment(int port) {
-        this(port, new LocalObjectStore());
+        this(port, Optional.empty());
     }
 
-    /** Makes a deployment over a store of the platform. */
-    LocalDeployment(int port, ObjectStore store) {
-        this.store = store;
+    /** Makes a deployment over the given store, or over one in memory. */
+    LocalDeployment(int port, Optional<ObjectStore> given) {
+        this.store = given.orElseGet(() -> new InMemoryObjectStore(new ExecutorScheduler(loops)));
         this.entry = new EntryDaemon(
                 EntrySettings.builder()
                         .instance(new InstanceId("entry-1"))
--- a/local/src/test/java/io/endiveshed/local/KeyedCallsTest.java
+++ b/local/src/test/java/io/endiveshed/local/KeyedCallsTest.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
@@ -34,7 +35,7 @@
     /** Guards against a second execution of a repeated key and against an answer that differs from the first. */
     @Test
     void repeatedKeyGetsTheFirstAnswerAndRunsOnce() {
-        start(new LocalObjectStore());
+        start(Optional.empty());
         String first = book("key-1", "{\"seat\":1}").join().body();
         assertThat(first).isEqualTo("{\"booking\": 1}");
         HttpResponse<String> repeated = book("key-1", "{\"seat\":1}").join();
@@ -50,7 +51,7 @@
     /** Guards against a key that is used for two different calls. */
     @Test
     void otherBodyUnderTheSameKeyIsNotRun() {
-        start(new LocalObjectStore());
+        start(Optional.empty());
         assertThat(book("key-1", "{\"seat\":1}").join().statusCode()).isEqualTo(200);
         HttpResponse<String> other = book("key-1", "{\"seat\":2}").join();
         assertThat(other.statusCode()).isEqualTo(409);
@@ -61,7 +62,7 @@
     /** Guards against two callers who send the same key at the same time. */
     @Test
     void concurrentCallsWithOneKeyRunOnce() {
-        start(new LocalObjectStore());
+        start(Optional.empty());
         List<CompletableFuture<HttpResponse<String>>> answers =
                 IntStream.range(0, CALLERS).mapToObj(i -> book("key-1", "{}")).toList();
         answers.forEach(answer -> assertThat(answer.join().body()).containsMatch("booking\": 1|\"unknown\""));
@@ -94,16 +95,16 @@
         assertThat(deployment.bookings().count()).isEqualTo(0);
     }
 
-    private void start(ObjectStore store) {
+    private void start(Optional<ObjectStore> store) {
         deployment = new LocalDeployment(0, store);
         deployment.start();
     }
 
-    private static ObjectStore storeWhoseRepliesAre(CompletionStage<?> reply) {
-        return (ObjectStore) Proxy.newProxyInstance(
+    private static Optional<ObjectStore> storeWhoseRepliesAre(CompletionStage<?> reply) {
+        return Optional.of((ObjectStore) Proxy.newProxyInstance(
                 ObjectStore.class.getClassLoader(),
                 new Class<?>[] {ObjectStore.class},
-                (proxy, method, arguments) -> reply);
+                (proxy, method, arguments) -> reply));
     }
 
     private CompletableFuture<HttpResponse<String>> book(String key, String body) {
--- a/local/src/test/java/io/endiveshed/local/RelayFleet.java
+++ b/local/src/test/java/io/endiveshed/local/RelayFleet.java
@@ -7,6 +7,7 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.config.AccountConfig;
 import io.endiveshed.coordination.config.Configuration;
@@ -18,6 +19,7 @@
 import io.endiveshed.sidecar.SidecarDaemon;
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.EngineStandIn;
+import io.endiveshed.standins.InMemoryObjectStore;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -94,7 +96,7 @@
                         .kvCapacityTokens(4_000_000)
                         .stopGrace(Duration.ZERO)
                         .build(),
-                new LocalObjectStore());
+                new InMemoryObjectStore(new ExecutorScheduler(loops)));
         if (engine < sidecars.size()) {
             sidecars.set(engine, sidecar);
         } else {
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.claim.ClaimEnvironment;
 import io.endiveshed.coordination.claim.ClaimLog;
 import io.endiveshed.coordination.claim.ClaimSettings;
@@ -90,13 +91,8 @@
 
     private KeyedCalls keyedCalls(ObjectStore store, RandomGenerator random, Incarnation incarnation) {
         ServiceName service = new ServiceName(settings.serves().get(0));
-        ClaimEnvironment environment = new ClaimEnvironment(
-                store,
-                (delay, task) -> loops.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
-                clock::millis,
-                SystemNanoClock.INSTANCE,
-                random,
-                incarnation);
+        ClaimEnvironment environment =
+                new ClaimEnvironment(store, new ExecutorScheduler(loops), clock::millis, random, incarnation);
         return new KeyedCalls(
                 service, new ClaimLog(service, ClaimSettings.builder().build(), environment));
     }
