--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -6,11 +6,13 @@
 import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
 import io.endiveshed.entry.internal.CallCounters;
+import io.endiveshed.entry.internal.CallLatencies;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.DrainGate;
 import io.endiveshed.entry.internal.SidecarLinks;
 import io.endiveshed.net.http.HttpServer;
+import io.endiveshed.net.http.MetricsPage;
 import io.endiveshed.net.link.LinkServer;
 import io.endiveshed.ports.platform.InstanceList;
 import io.netty.channel.EventLoopGroup;
@@ -50,7 +52,8 @@
 
     /**
      * Time in which connections are still accepted and requests refused before the listener closes, so that load
-     * balancers and callers with open connections learn from an answer that this entry stops.
+     * balancers and callers with open connections learn from an answer that this entry stops. A connection closes
+     * without an answer only after it was idle for as long, because a request may be on its way.
      */
     private static final Duration LAME_DUCK = Duration.ofMillis(500);
 
@@ -58,7 +61,7 @@
     private static final long LIST_INTERVAL_SECONDS = 2;
 
     private static final long HOURS_INTERVAL_MILLIS = 1_000;
-    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /** Time to write the last answers after the grace period. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
@@ -102,11 +105,17 @@
         this.sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table);
         CallCounters counters = new CallCounters(metrics);
         this.dispatcher = new Dispatcher(
-                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
+                sidecars,
+                blackboard,
+                new LeastOutstandingSelector(sidecars::outstanding),
+                random,
+                loops,
+                counters,
+                new CallLatencies(metrics));
         sidecars.callMessages(dispatcher);
-        this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers));
-        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate);
-        this.links = new LinkServer(loops, settings.linkAddress(), sidecars);
+        this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers, new MetricsPage(metrics)));
+        this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate, metrics);
+        this.links = new LinkServer(loops, settings.linkAddress(), sidecars, metrics);
     }
 
     /** Starts to accept links and callers. */
@@ -151,11 +160,9 @@
         gate.drain();
         callers.drain();
         sidecars.announceLeaving(settings.stopGrace());
-        if (callers.openConnections() > 0) {
-            await(() -> false, start, LAME_DUCK);
-        }
+        await(() -> false, start, LAME_DUCK);
         callers.stop();
-        callers.closeIdle();
+        awaitRegistrations();
         await(this::isDrained, start, settings.stopGrace());
         gate.failRemaining();
         await(this::isDrained, System.nanoTime(), CLOSE_TIMEOUT);
@@ -170,7 +177,13 @@
         return loops.isTerminated();
     }
 
+    /** Waits until accepted connections are registered; one that is not would stay open without being served. */
+    private void awaitRegistrations() {
+        loops.forEach(loop -> loop.submit(() -> {}).syncUninterruptibly());
+    }
+
     private boolean isDrained() {
+        callers.closeIdle(LAME_DUCK);
         return gate.isIdle() && callers.openConnections() == 0;
     }
 
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
 /** Sends requests to targets and their answers to callers. */
@@ -41,9 +42,16 @@
     private final SidecarLinks sidecars;
     private final Blackboard blackboard;
     private final TargetSelector selector;
-    private final RandomGenerator random;
+    /**
+     * Upper half of request ids, random for each process; the lower half counts. A secure random number for each
+     * request takes a lock that all event loops share.
+     */
+    private final long idPrefix;
+
+    private final AtomicLong requests = new AtomicLong();
     private final ScheduledExecutorService timers;
     private final CallCounters counters;
+    private final CallLatencies latencies;
     private final RetryTokens retries = new RetryTokens();
     private final Cancels cancels;
     private final Revocations revocations;
@@ -56,13 +64,15 @@
             TargetSelector selector,
             RandomGenerator random,
             ScheduledExecutorService timers,
-            CallCounters counters) {
+            CallCounters counters,
+            CallLatencies latencies) {
         this.sidecars = sidecars;
         this.blackboard = blackboard;
         this.selector = selector;
-        this.random = random;
+        this.idPrefix = random.nextLong();
         this.timers = timers;
         this.counters = counters;
+        this.latencies = latencies;
         this.cancels = new Cancels(sidecars, counters);
         this.revocations = new Revocations(sidecars, blackboard, timers);
     }
@@ -75,7 +85,7 @@
 
     /** Sends a request to a target, or refuses it at once. */
     void dispatch(CallPlan plan, ResponseSink response) {
-        Call call = new Call(RequestId.random(random), plan, response, this);
+        Call call = new Call(new RequestId(idPrefix, requests.incrementAndGet()), plan, response, this);
         retries.requested();
         calls.put(call.id(), call);
         call.timer(timers.schedule(
@@ -170,6 +180,22 @@
         counters.error(failure.kind());
     }
 
+    @Override
+    public void firstByte(Call call, long queueMicros) {
+        CallLatencies.Band band = band(call);
+        band.firstToken().update(call.elapsedMicros());
+        band.queue().update(Math.max(0, queueMicros));
+    }
+
+    @Override
+    public void completed(Call call) {
+        band(call).total().update(call.elapsedMicros());
+    }
+
+    private CallLatencies.Band band(Call call) {
+        return latencies.band(call.plan().account(), call.plan().routing().promptTokens());
+    }
+
     @Override
     public void finished(Call call) {
         calls.remove(call.id());
--- a/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
+++ b/net/src/main/java/io/endiveshed/net/link/internal/LinkPipeline.java
@@ -12,16 +12,18 @@
 
 /** Sets up the handlers of a link. */
 public final class LinkPipeline extends ChannelInitializer<Channel> {
-    /** Time without any frame after which a link counts as broken; both ends send at least every 500 ms. */
+    /** Time without any frame after which a link counts as broken; a sidecar sends every 500 ms and asks every 3 s. */
     public static final int READ_TIMEOUT_SECONDS = 10;
 
     private static final int LENGTH_FIELD_BYTES = 4;
 
     private final LinkListener listener;
+    private final LinkGuard guard;
 
     /** Makes an initializer whose links report to the listener. */
-    public LinkPipeline(LinkListener listener) {
+    public LinkPipeline(LinkListener listener, LinkGuard guard) {
         this.listener = listener;
+        this.guard = guard;
     }
 
     @Override
@@ -32,6 +34,6 @@
                 .addLast(new LengthFieldBasedFrameDecoder(
                         ProtocolLimits.MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
-                .addLast(new LinkHandler(listener));
+                .addLast(new LinkHandler(listener, guard));
     }
 }
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -190,6 +190,7 @@
             return;
         }
         welcomed = true;
+        from.established();
         backoffMillis = MIN_BACKOFF_MILLIS;
         if (leavingGraceMillis != NOT_LEAVING) {
             sendLeaving(from);
