--- a/local/src/test/java/io/endiveshed/local/TestFleet.java
+++ b/local/src/test/java/io/endiveshed/local/TestFleet.java
@@ -7,6 +7,7 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.base.time.ExecutorScheduler;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.config.AccountConfig;
 import io.endiveshed.coordination.config.Configuration;
@@ -20,6 +21,7 @@
 import io.endiveshed.sidecar.SidecarDaemon;
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.EngineStandIn;
+import io.endiveshed.standins.InMemoryObjectStore;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -165,7 +167,10 @@
                 .openingHours(hours)
                 .build();
         SidecarDaemon sidecar = new SidecarDaemon(
-                settings, () -> CompletableFuture.completedFuture(Either.right(List.of())), () -> now);
+                settings,
+                new InMemoryObjectStore(new ExecutorScheduler(loops)),
+                () -> CompletableFuture.completedFuture(Either.right(List.of())),
+                () -> now);
         sidecar.start();
         return sidecar;
     }
