--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -135,13 +135,8 @@
 
     private KeyedCalls keyedCalls(ObjectStore store, RandomGenerator random, Incarnation incarnation) {
         ServiceName service = new ServiceName(settings.serves().get(0));
-        ClaimEnvironment environment = new ClaimEnvironment(
-                store,
-                (delay, task) -> loops.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS),
-                clock::millis,
-                SystemNanoClock.INSTANCE,
-                random,
-                incarnation);
+        ClaimEnvironment environment =
+                new ClaimEnvironment(store, new ExecutorScheduler(loops), clock::millis, random, incarnation);
         return new KeyedCalls(
                 service, new ClaimLog(service, ClaimSettings.builder().build(), environment));
     }
