--- a/bench/src/main/java/io/endiveshed/bench/ConfigurationFleet.java
+++ b/bench/src/main/java/io/endiveshed/bench/ConfigurationFleet.java
@@ -81,7 +81,7 @@
     void publish() {
         published++;
         new ConfigurationPublisher(store, time, new Random(published))
-                .publish(ConfigurationContent.of(configuration()), Optional.empty());
+                .publish(content(accounts, published), Optional.empty());
     }
 
     /** Publishes and returns the time until every process has the revision. */
@@ -109,14 +109,15 @@
                 .allMatch(process -> process.revision().equals(revision));
     }
 
-    private Configuration configuration() {
+    /** Returns a content in which the change number decides which account differs from the others. */
+    static ConfigurationContent content(int accounts, int change) {
         Configuration.Builder builder = Configuration.builder(Revision.NONE)
                 .model(new ModelConfig(new ModelName("tsehay-llm"), Duration.ofSeconds(60)));
         for (int i = 0; i < accounts; i++) {
-            int weight = i == published % accounts ? published + 1 : 1;
+            int weight = i == change % accounts ? change + 1 : 1;
             String hash = String.format("%064x", i);
             builder.account(new AccountConfig(new ClientAccountId("account-" + i), List.of(hash), weight, 1));
         }
-        return builder.build();
+        return ConfigurationContent.of(builder.build());
     }
 }
--- a/bench/src/main/java/io/endiveshed/bench/ConfigurationMeasurement.java
+++ b/bench/src/main/java/io/endiveshed/bench/ConfigurationMeasurement.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 
 /** Measures the distribution of the configuration in virtual time and prints the tables of docs/configuration.md. */
 public final class ConfigurationMeasurement {
@@ -20,12 +21,19 @@
 
     private ConfigurationMeasurement() {}
 
-    /** Runs all measurements. */
+    /** Runs the measurements named by the arguments: convergence, load, sizes, outage; all if there is none. */
     public static void main(String[] arguments) {
-        PrintStream out = System.out;
-        convergence(out);
-        load(out);
-        outage(out);
+        List<String> names =
+                arguments.length == 0 ? List.of("convergence", "load", "sizes", "outage") : List.of(arguments);
+        for (String name : names) {
+            switch (name) {
+                case "convergence" -> convergence(System.out);
+                case "load" -> load(System.out);
+                case "sizes" -> sizes(System.out);
+                case "outage" -> outage(System.out);
+                default -> throw new IllegalArgumentException("unknown measurement " + name);
+            }
+        }
     }
 
     private static void convergence(PrintStream out) {
@@ -75,6 +83,13 @@
                     (fleet.store().calls(Operation.WATCH, "configuration-head") - watches) / 390.0,
                     perHour == 0 ? 0 : (fleet.linkBytes() - bytes) / 31.0 / perHour);
         }
+    }
+
+    private static void sizes(PrintStream out) {
+        Map<String, byte[]> pieces = ConfigurationFleet.content(ACCOUNTS, 1).pieces();
+        int pieceBytes =
+                pieces.values().stream().mapToInt(piece -> piece.length).sum();
+        out.printf("%d accounts: %d pieces, %d bytes in all%n", ACCOUNTS, pieces.size(), pieceBytes);
         ConfigurationFleet large = new ConfigurationFleet(1, 1, ACCOUNTS, Duration.ZERO, 3);
         out.printf(
                 "%d accounts: first convergence %d ms%n",
