Let a single long prompt use the memory reserved for short ones

The queue refused prompts between 90% and 100% of the memory with a lower limit than the entry names, although an idle engine can hold them.

--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
@@ -4,7 +4,8 @@
  * Settings of {@link ShortFirstQueue}.
  *
  * @param kvCapacityTokens KV memory of the engine, in tokens
- * @param shortReserveTokens part of it that only short prompts may use, in tokens
+ * @param shortReserveTokens part of it that longer prompts leave free for short ones, in tokens; a single longer prompt
+ *     that needs it may use it
  * @param maxWaiting most requests that wait
  * @param maxRunning most requests in the engine
  * @param maxLongerPrefills most requests above the short band whose prefill is in progress; the rest wait in this
--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/ShortFirstQueue.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/ShortFirstQueue.java
@@ -38,6 +38,7 @@
     private final Map<AttemptId, Entry> entries = new HashMap<>();
     private final WorkByEntry work = new WorkByEntry();
     private long reservedTokens;
+    private long longerReservedTokens;
     private long waitingTokens;
     private int running;
     private int longerPrefills;
@@ -113,8 +114,9 @@
         }
         running--;
         reservedTokens -= request.kvTokens();
-        if (!entry.prefilled && request.band() != LengthBand.SHORT) {
-            longerPrefills--;
+        if (request.band() != LengthBand.SHORT) {
+            longerReservedTokens -= request.kvTokens();
+            longerPrefills -= entry.prefilled ? 0 : 1;
         }
         return true;
     }
@@ -154,7 +156,7 @@
                     .message("attempt " + request.attempt() + " is already queued or running")
                     .build());
         }
-        long limit = settings.kvCapacityTokens() - (request.band() == LengthBand.SHORT ? 0 : reserve());
+        long limit = settings.kvCapacityTokens();
         if (request.kvTokens() > limit) {
             return Optional.of(Failure.of(ErrorKind.PROMPT_TOO_LONG)
                     .message("prompt and answer need " + request.kvTokens() + " tokens of KV memory, the limit is "
@@ -190,18 +192,20 @@
         return Duration.ofNanos(nanos).toMillis();
     }
 
-    private long reserve() {
-        return settings.shortReserveTokens();
-    }
-
     private long dueNanos(QueuedRequest request) {
         double delay = settings.delayPerWork() * request.workNanos();
         return request.arrivedNanos() + (long) Math.min((double) settings.maxDelayNanos(), delay);
     }
 
     private boolean fits(QueuedRequest request) {
-        long limit = settings.kvCapacityTokens() - (request.band() == LengthBand.SHORT ? 0 : reserve());
-        return reservedTokens + request.kvTokens() <= limit;
+        long capacity = settings.kvCapacityTokens();
+        if (reservedTokens + request.kvTokens() > capacity) {
+            return false;
+        }
+        // A longer prompt that fits only into the whole memory may use the reserve while no other longer one runs.
+        return request.band() == LengthBand.SHORT
+                || longerReservedTokens == 0
+                || longerReservedTokens + request.kvTokens() <= capacity - settings.shortReserveTokens();
     }
 
     private StartOrder start(Entry entry, long now) {
@@ -211,6 +215,7 @@
         waitingTokens -= entry.request.kvTokens();
         reservedTokens += entry.request.kvTokens();
         if (entry.request.band() != LengthBand.SHORT) {
+            longerReservedTokens += entry.request.kvTokens();
             longerPrefills++;
         }
         return new StartOrder(entry.request, priority(entry, now));
