--- a/coordination/src/main/java/io/endiveshed/coordination/admission/AdmissionSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/AdmissionSettings.java
@@ -11,5 +11,5 @@
  */
 public record AdmissionSettings(long maxBacklogNanos, long fairShareBacklogNanos, double deadlineMargin) {
     /** Settings that were best in measurements.md. */
-    public static final AdmissionSettings DEFAULT = new AdmissionSettings(60_000_000_000L, 3_000_000_000L, 1.2);
+    public static final AdmissionSettings DEFAULT = new AdmissionSettings(15_000_000_000L, 3_000_000_000L, 1.2);
 }
