Refuse the longest prompts of an account over its share first

An account over its share lost short and long prompts alike. Most of its work is in few long prompts, so cutting these first needs far fewer refusals.

--- a/coordination/src/main/java/io/endiveshed/coordination/admission/AdmissionController.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/AdmissionController.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
+import io.endiveshed.coordination.cost.LengthBand;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.routing.CostAwareSelector;
 import io.endiveshed.coordination.routing.RoutingChoice;
@@ -82,11 +83,12 @@
                     excess));
         }
         boolean contended = choice.backlogNanos() > settings.fairShareBacklogNanos();
-        if (contended && share.isOverShare(request.account(), request.weight())) {
+        LengthBand band = LengthBand.of(request.routing().promptTokens());
+        if (contended && share.isOverShare(request.account(), request.weight(), band)) {
             return Optional.of(Failure.of(ErrorKind.RATE_LIMITED)
                     .message("client account " + request.account() + " is over its fair share of "
                             + request.routing().name())
-                    .retryAfter(atLeastMinimum(share.nanosUntilShare(request.account(), request.weight())))
+                    .retryAfter(atLeastMinimum(share.nanosUntilShare(request.account(), request.weight(), band)))
                     .build());
         }
         return Optional.empty();
--- a/coordination/src/main/java/io/endiveshed/coordination/admission/FairShare.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/FairShare.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.ClientAccountId;
 import io.endiveshed.coordination.cost.DecayedSum;
+import io.endiveshed.coordination.cost.LengthBand;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -24,8 +25,11 @@
     private static final long LEVEL_VALIDITY_NANOS = 100_000_000L;
     /** Accounts whose recent demand has fallen below this are dropped, in nanoseconds of engine time. */
     private static final double NEGLIGIBLE_NANOS = 1_000_000;
-    /** Part above its share that an account may use, so that measurement noise refuses nobody. */
-    private static final double TOLERANCE = 1.1;
+    /** Part above its share that an account may use for long prompts, so that measurement noise refuses nobody. */
+    private static final double TOLERANCE = 1.05;
+
+    private static final double MEDIUM_TOLERANCE = 1.3;
+    private static final double SHORT_TOLERANCE = 2;
 
     private final LongSupplier nanoClock;
     private final Map<ClientAccountId, Usage> usages = new ConcurrentHashMap<>();
@@ -46,18 +50,29 @@
         usage(account, weight).accepted.add((double) workNanos);
     }
 
-    /** Returns whether an account uses more than its share while others are short of theirs. */
-    public boolean isOverShare(ClientAccountId account, int weight) {
-        return usage(account, weight).accepted.value() > TOLERANCE * weight * level();
+    /**
+     * Returns whether an account uses too much above its share to send a prompt of a band. The longest prompts are cut
+     * first: most of an account's work is in few of them, so it stays near its share with few refusals.
+     */
+    public boolean isOverShare(ClientAccountId account, int weight, LengthBand band) {
+        return usage(account, weight).accepted.value() > tolerance(band) * weight * level();
     }
 
     /** Returns the time after which an account over its share falls to it if it sends nothing, in nanoseconds. */
-    public long nanosUntilShare(ClientAccountId account, int weight) {
+    public long nanosUntilShare(ClientAccountId account, int weight, LengthBand band) {
         double used = usage(account, weight).accepted.value();
-        double share = Math.max(1, TOLERANCE * weight * level());
+        double share = Math.max(1, tolerance(band) * weight * level());
         return used <= share ? 0 : Math.round(TIME_CONSTANT_NANOS * Math.log(used / share));
     }
 
+    private static double tolerance(LengthBand band) {
+        return switch (band) {
+            case SHORT -> SHORT_TOLERANCE;
+            case MEDIUM -> MEDIUM_TOLERANCE;
+            case LONG, VERY_LONG -> TOLERANCE;
+        };
+    }
+
     private Usage usage(ClientAccountId account, int weight) {
         return usages.computeIfAbsent(account, id -> new Usage(weight, nanoClock));
     }
