Count half of the longer work in the choice of a target

A short request overtakes longer prefills, but its decode shares their steps and it delays them, so a target without them is better. The predicted wait that admission uses stays as it was.

--- a/coordination/src/main/java/io/endiveshed/coordination/routing/CostAwareSelector.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/CostAwareSelector.java
@@ -84,6 +84,7 @@
                 Math.round(wait * slowness),
                 Math.round(prefill * slowness),
                 Math.round(wait) + prefill,
+                Math.round(backlog.upTo(band) * slowness),
                 Math.round(backlog.total() * slowness));
     }
 
@@ -92,7 +93,8 @@
         double penalty = local ? 0 : settings.linkPenaltyNanos();
         double lacking =
                 request.kvTokens() > outstanding.freeKvTokens(choice.target().id()) ? choice.waitNanos() : 0;
-        return choice.firstTokenNanos() + penalty + lacking;
+        long longer = choice.backlogNanos() - choice.bandBacklogNanos();
+        return choice.firstTokenNanos() + penalty + lacking + settings.longerWorkCost() * longer;
     }
 
     private List<TargetView> candidates(RoutingRequest request, List<TargetView> usable) {
--- a/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingChoice.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingChoice.java
@@ -11,6 +11,7 @@
  * @param prefillNanos predicted time from the start to the first token, in nanoseconds
  * @param healthyFirstTokenNanos predicted time to the first token if the target were as fast as the others, in nanoseconds;
  *     the measure for {@link TargetHealth#observed}
+ * @param bandBacklogNanos predicted work of this band and shorter ones on the target, in nanoseconds
  * @param backlogNanos predicted work of all bands on the target, in nanoseconds
  */
 public record RoutingChoice(
@@ -19,6 +20,7 @@
         long waitNanos,
         long prefillNanos,
         long healthyFirstTokenNanos,
+        long bandBacklogNanos,
         long backlogNanos) {
     /** Returns the predicted time to the first token, in nanoseconds. */
     public long firstTokenNanos() {
--- a/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/RoutingSettings.java
@@ -11,17 +11,20 @@
  * @param linkPenaltyNanos wait that is accepted to stay in the own failure domain, in nanoseconds
  * @param longerWorkWeight share of the work of longer bands that counts as wait for a shorter request, which overtakes
  *     it but for the chunk in progress; 0 to 1
+ * @param longerWorkCost share of the work of longer bands that counts against a target beside the wait: the request
+ *     delays that work, and its decode shares the steps with it
  */
 public record RoutingSettings(
         FailureDomain localDomain,
         int localCandidates,
         int remoteCandidates,
         long linkPenaltyNanos,
-        double longerWorkWeight) {
+        double longerWorkWeight,
+        double longerWorkCost) {
     private static final long DEFAULT_LINK_PENALTY_NANOS = 20_000_000L;
 
     /** Returns the settings that were best in measurements.md. */
     public static RoutingSettings defaults(FailureDomain localDomain) {
-        return new RoutingSettings(localDomain, 3, 2, DEFAULT_LINK_PENALTY_NANOS, 0.05);
+        return new RoutingSettings(localDomain, 3, 2, DEFAULT_LINK_PENALTY_NANOS, 0.05, 0.5);
     }
 }
