--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
@@ -22,7 +22,7 @@
         double delayPerWork,
         long maxDelayNanos) {
     private static final long RESERVE_ONE_IN = 10;
-    private static final long MAX_DELAY_NANOS = 20_000_000_000L;
+    private static final long MAX_DELAY_NANOS = 40_000_000_000L;
 
     /** Returns the settings that were best in measurements.md for an engine with this KV memory. */
     public static QueueSettings defaults(long kvCapacityTokens) {
