Allow four longer prefills in the engine

With two, a medium prompt waited in the queue while the engine worked on two very long ones, although the engine would have preferred it.

--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
@@ -26,6 +26,6 @@
 
     /** Returns the settings that were best in measurements.md for an engine with this KV memory. */
     public static QueueSettings defaults(long kvCapacityTokens) {
-        return new QueueSettings(kvCapacityTokens, kvCapacityTokens / RESERVE_ONE_IN, 1_024, 64, 2, 8, MAX_DELAY_NANOS);
+        return new QueueSettings(kvCapacityTokens, kvCapacityTokens / RESERVE_ONE_IN, 1_024, 64, 4, 8, MAX_DELAY_NANOS);
     }
 }
