Move one waiting request to the least loaded target for each arrival

A target that got several long requests keeps them although others have become idle. Each accepted request now proposes one move, which takes effect only if the sidecar proves that the attempt has not started.

--- a/bench/src/main/java/io/endiveshed/bench/policy/EntryPolicy.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/EntryPolicy.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.coordination.admission.AdmissionRequest;
+import io.endiveshed.coordination.admission.Move;
 import io.endiveshed.coordination.admission.Ticket;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.retry.FailedAttempt;
@@ -21,6 +22,16 @@
     Optional<Placement> retry(
             AdmissionRequest request, FailedAttempt failed, TargetId failedTarget, List<TargetView> targets);
 
+    /** Proposes to move an attempt that waits; baselines never do. */
+    default Optional<Move> proposeMove(List<Ticket> waiting, List<TargetView> targets) {
+        return Optional.empty();
+    }
+
+    /** Places an attempt that its sidecar revoked. */
+    default Optional<Placement> move(AdmissionRequest request, Move move, List<TargetView> targets) {
+        return Optional.empty();
+    }
+
     void firstToken(SimAttempt attempt, FakeEngine.Prefill prefill);
 
     void finished(SimAttempt attempt, boolean timedOut);
--- a/bench/src/main/java/io/endiveshed/bench/policy/FakeEntry.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/FakeEntry.java
@@ -9,6 +9,7 @@
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.admission.AdmissionRequest;
+import io.endiveshed.coordination.admission.Move;
 import io.endiveshed.coordination.cost.TokenEstimator;
 import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
@@ -71,6 +72,7 @@
             return;
         }
         dispatch(new AttemptId(request.id, 1), request, placed.get());
+        proposeMove();
         world.loop().after(request.deadlineNanos - world.loop().now(), () -> expire(request));
     }
 
@@ -138,6 +140,40 @@
         return Failure.of(ErrorKind.DEADLINE_EXCEEDED).build();
     }
 
+    private void proposeMove() {
+        List<SimAttempt> waiting = attempts.values().stream()
+                .filter(attempt -> attempt.request().firstTokenNanos < 0)
+                .toList();
+        Optional<Move> move = policy.proposeMove(
+                waiting.stream()
+                        .map(SimAttempt::ticket)
+                        .filter(ticket -> ticket != null)
+                        .toList(),
+                views());
+        if (move.isEmpty()) {
+            return;
+        }
+        for (SimAttempt attempt : waiting) {
+            if (attempt.ticket() == move.get().ticket()) {
+                world.send(
+                        this, attempt.target(), sidecar -> sidecar.revoke(attempt, () -> revoked(attempt, move.get())));
+            }
+        }
+    }
+
+    private void revoked(SimAttempt attempt, Move move) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        attempts.remove(attempt.id());
+        Optional<EntryPolicy.Placement> placed = policy.move(admission(attempt.request()), move, views());
+        if (placed.isPresent()) {
+            dispatch(attempt.id().next(), attempt.request(), placed.get());
+        } else {
+            refuse(attempt.request(), Failure.of(ErrorKind.NO_TARGET).build());
+        }
+    }
+
     private void dispatch(AttemptId id, SimRequest request, EntryPolicy.Placement placement) {
         SimAttempt attempt =
                 new SimAttempt(id, request, admission(request), placement.target(), placement.ticket(), this);
--- a/bench/src/main/java/io/endiveshed/bench/policy/FakeSidecar.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/FakeSidecar.java
@@ -85,6 +85,14 @@
         }
     }
 
+    /** Revokes an attempt if it still waits. */
+    void revoke(SimAttempt attempt, Runnable revoked) {
+        if (!stopped && queue.revoke(attempt.id())) {
+            attempts.remove(attempt.id());
+            tell(attempt, revoked);
+        }
+    }
+
     /** Cancels what an entry that is gone has sent. */
     void cancelAllOf(FakeEntry entry) {
         attempts.values().stream()
--- a/bench/src/main/java/io/endiveshed/bench/policy/FifoQueue.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/FifoQueue.java
@@ -72,6 +72,15 @@
         return false;
     }
 
+    @Override
+    public boolean revoke(AttemptId attempt) {
+        boolean waits = waiting.stream().anyMatch(request -> request.attempt().equals(attempt));
+        if (waits) {
+            finish(attempt);
+        }
+        return waits;
+    }
+
     @Override
     public List<QueuedRequest> expire() {
         return List.of();
--- a/bench/src/main/java/io/endiveshed/bench/policy/ScheduledPolicy.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/ScheduledPolicy.java
@@ -7,6 +7,8 @@
 import io.endiveshed.coordination.admission.AdmissionRequest;
 import io.endiveshed.coordination.admission.AdmissionSettings;
 import io.endiveshed.coordination.admission.EntryScheduler;
+import io.endiveshed.coordination.admission.Move;
+import io.endiveshed.coordination.admission.Ticket;
 import io.endiveshed.coordination.cost.CostModel;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.retry.AttemptBudget;
@@ -58,6 +60,16 @@
                 .map(ticket -> new Placement(ticket.target(), ticket));
     }
 
+    @Override
+    public Optional<Move> proposeMove(List<Ticket> waiting, List<TargetView> targets) {
+        return scheduler.proposeMove(waiting, targets);
+    }
+
+    @Override
+    public Optional<Placement> move(AdmissionRequest request, Move move, List<TargetView> targets) {
+        return scheduler.move(request, move, targets).map(ticket -> new Placement(ticket.target(), ticket));
+    }
+
     @Override
     public void firstToken(SimAttempt attempt, FakeEngine.Prefill prefill) {
         if (prefill.uninterruptedNanos() > 0) {
--- a/coordination/src/main/java/io/endiveshed/coordination/admission/EntryScheduler.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/EntryScheduler.java
@@ -41,6 +41,7 @@
     private final PrefixAffinity affinity;
     private final AttemptBudget retryBudget;
     private final RetryPolicy retries;
+    private final Reassignment reassignment;
     private final LongSupplier nanoClock;
 
     /** Joins the parts; selector, outstanding work, health and affinity must be those that the selector reads. */
@@ -59,6 +60,7 @@
         this.affinity = affinity;
         this.retryBudget = retryBudget;
         this.retries = new RetryPolicy(retryBudget);
+        this.reassignment = new Reassignment(outstanding, health);
         this.nanoClock = nanoClock;
     }
 
@@ -82,6 +84,28 @@
         return retries.shouldRetry(failed) ? choice.map(this::dispatched) : Optional.empty();
     }
 
+    /**
+     * Proposes to move one attempt, to be called once for each accepted request. The entry sends {@code Revoke} to the
+     * target of the ticket and calls {@link #move} only when the answer says that the attempt was revoked before it
+     * started; otherwise nothing changes. An attempt is proposed at most once.
+     *
+     * @param waiting attempts without a first token
+     * @param targets targets of the model
+     */
+    public Optional<Move> proposeMove(Iterable<Ticket> waiting, List<TargetView> targets) {
+        return reassignment.propose(waiting, targets);
+    }
+
+    /** Finishes a revoked attempt and chooses its destination, or another target if that one is not usable any more. */
+    public Optional<Ticket> move(AdmissionRequest request, Move move, List<TargetView> targets) {
+        finished(move.ticket());
+        List<TargetView> destination = new ArrayList<>(targets);
+        destination.removeIf(target -> !target.id().equals(move.destination().id()));
+        return selector.choose(request.routing(), destination)
+                .or(() -> selector.choose(request.routing(), targets))
+                .map(this::dispatched);
+    }
+
     /** Notes the first byte of an answer: the prefill is done and the target holds the prompt's prefix. */
     public void firstToken(AdmissionRequest request, Ticket ticket) {
         RoutingChoice choice = ticket.choice();
--- a/coordination/src/main/java/io/endiveshed/coordination/admission/Ticket.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/Ticket.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.coordination.routing.BandWork;
 import io.endiveshed.coordination.routing.RoutingChoice;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** An accepted attempt and the part of its work that still counts as outstanding. Made by {@link EntryScheduler}. */
@@ -10,6 +11,7 @@
     private final RoutingChoice choice;
     private final long dispatchedNanos;
     private final AtomicReference<BandWork> left;
+    private final AtomicBoolean proposed = new AtomicBoolean();
 
     Ticket(RoutingChoice choice, long dispatchedNanos) {
         this.choice = choice;
@@ -31,6 +33,15 @@
         return dispatchedNanos;
     }
 
+    boolean isMovable() {
+        return !proposed.get();
+    }
+
+    /** Notes that a move was proposed; returns false if one was proposed before. */
+    boolean markProposed() {
+        return proposed.compareAndSet(false, true);
+    }
+
     /** Takes up to the given work from what is left and returns what was taken. */
     BandWork take(BandWork part) {
         BandWork before = left.getAndUpdate(now -> now.minus(part));
--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/RequestQueue.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/RequestQueue.java
@@ -27,6 +27,9 @@
     /** Removes a request and frees its memory; returns whether it had been started. Unknown requests are ignored. */
     boolean finish(AttemptId attempt);
 
+    /** Removes a request if it still waits; returns whether it did, which proves that it was not run. */
+    boolean revoke(AttemptId attempt);
+
     /** Removes the waiting requests that cannot finish before their deadline any more; they were not run. */
     List<QueuedRequest> expire();
 
--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/ShortFirstQueue.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/ShortFirstQueue.java
@@ -121,6 +121,16 @@
         return true;
     }
 
+    @Override
+    public boolean revoke(AttemptId attempt) {
+        Entry entry = entries.get(attempt);
+        if (entry == null || entry.started) {
+            return false;
+        }
+        finish(attempt);
+        return true;
+    }
+
     @Override
     public List<QueuedRequest> expire() {
         long now = nanoClock.getAsLong();
--- /dev/null
+++ b/coordination/src/test/java/io/endiveshed/coordination/admission/EntrySchedulerTest.java
@@ -0,0 +1,101 @@
+package io.endiveshed.coordination.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.id.ClientAccountId;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.base.id.TargetId;
+import io.endiveshed.base.id.TargetKind;
+import io.endiveshed.coordination.ManualClock;
+import io.endiveshed.coordination.cost.CostModel;
+import io.endiveshed.coordination.membership.TargetLoad;
+import io.endiveshed.coordination.membership.TargetState;
+import io.endiveshed.coordination.membership.TargetView;
+import io.endiveshed.coordination.retry.AttemptBudget;
+import io.endiveshed.coordination.routing.BandWork;
+import io.endiveshed.coordination.routing.CostAwareSelector;
+import io.endiveshed.coordination.routing.OutstandingWork;
+import io.endiveshed.coordination.routing.PrefixAffinity;
+import io.endiveshed.coordination.routing.RoutingRequest;
+import io.endiveshed.coordination.routing.RoutingSettings;
+import io.endiveshed.coordination.routing.TargetHealth;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class EntrySchedulerTest {
+    private static final AdmissionRequest REQUEST = new AdmissionRequest(
+            new RoutingRequest(TargetKind.ENGINE, "m", 50_000, 100),
+            new ClientAccountId("account"),
+            1,
+            100 * ManualClock.SECOND);
+
+    private final ManualClock clock = new ManualClock();
+    private final OutstandingWork outstanding = new OutstandingWork();
+    private final TargetHealth health = new TargetHealth(clock);
+    private final PrefixAffinity affinity = new PrefixAffinity(10);
+    private final EntryScheduler scheduler = new EntryScheduler(
+            new CostAwareSelector(
+                    RoutingSettings.defaults(new FailureDomain("domain")),
+                    new CostModel(CostModel.Coefficients.DEFAULT),
+                    outstanding,
+                    health,
+                    affinity,
+                    new Random(5)),
+            new AdmissionController(AdmissionSettings.DEFAULT, clock),
+            outstanding,
+            health,
+            affinity,
+            new AttemptBudget(AttemptBudget.RETRY_SHARE, clock),
+            clock);
+
+    /** Guards against work that stays counted after an attempt ended, or that is subtracted twice. */
+    @Test
+    void countsTheWorkOfAnAttemptUntilItEndsAndOnlyOnce() {
+        Ticket first = scheduler.admit(REQUEST, List.of(target(0))).get();
+        Ticket second = scheduler.admit(REQUEST, List.of(target(0))).get();
+        scheduler.firstToken(REQUEST, first);
+        scheduler.finished(first);
+        scheduler.finished(first);
+        assertThat(outstanding.estimate(first.target()))
+                .isEqualTo(second.choice().work());
+        scheduler.finished(second);
+        assertThat(outstanding.estimate(first.target())).isEqualTo(BandWork.NONE);
+    }
+
+    /** Guards against moves that gain nothing, repeat without bound, or leave the work counted at the old target. */
+    @Test
+    void movesAWaitingAttemptOnceFromALoadedTargetToAnIdleOne() {
+        List<Ticket> waiting = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            waiting.add(scheduler.admit(REQUEST, List.of(target(0))).get());
+        }
+        List<TargetView> targets = List.of(target(0), target(1));
+        Move move = scheduler.proposeMove(waiting, targets).orElseThrow();
+        assertThat(move.destination()).isEqualTo(target(1));
+        Ticket moved = scheduler.move(REQUEST, move, targets).orElseThrow();
+        assertThat(moved.target()).isEqualTo(target(1).id());
+        assertThat(outstanding.estimate(target(1).id()))
+                .isEqualTo(moved.choice().work());
+        waiting.remove(move.ticket());
+        assertThat(outstanding.estimate(target(0).id()).total())
+                .isEqualTo(2 * moved.choice().work().total());
+        assertThat(scheduler.proposeMove(waiting, targets).isPresent()).isFalse();
+    }
+
+    private static TargetView target(int index) {
+        return new TargetView(
+                new TargetId(new InstanceId("runner-" + index), new Incarnation(index)),
+                TargetKind.ENGINE,
+                List.of("m"),
+                new Region("region"),
+                new FailureDomain("domain"),
+                450_000,
+                TargetState.LIVE,
+                TargetLoad.NONE);
+    }
+}
--- a/coordination/src/test/java/io/endiveshed/coordination/queueing/ShortFirstQueueTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/queueing/ShortFirstQueueTest.java
@@ -100,6 +100,18 @@
         assertThat(queue.outstanding()).isEqualTo(BandWork.NONE);
     }
 
+    /** Guards against a started attempt that is reported as not run. */
+    @Test
+    void revokesOnlyWhatStillWaits() {
+        queue.offer(request(1, LengthBand.SHORT, 10, SECOND));
+        assertThat(started()).containsExactly(id(1));
+        queue.offer(request(2, LengthBand.SHORT, 10, SECOND));
+        assertThat(queue.revoke(id(1))).isFalse();
+        assertThat(queue.revoke(id(2))).isTrue();
+        assertThat(queue.revoke(id(2))).isFalse();
+        assertThat(started()).isEmpty();
+    }
+
     /** Guards against memory or work that stays reserved after a request has ended in any state. */
     @Test
     void releasesEverythingInWhateverStateRequestsEnd() {
