--- a/bench/src/main/java/io/endiveshed/bench/policy/FakeEntry.java
+++ b/bench/src/main/java/io/endiveshed/bench/policy/FakeEntry.java
@@ -72,7 +72,9 @@
             return;
         }
         dispatch(new AttemptId(request.id, 1), request, placed.get());
-        proposeMove();
+        if (placed.get().ticket() != null) {
+            proposeMove();
+        }
         world.loop().after(request.deadlineNanos - world.loop().now(), () -> expire(request));
     }
 
@@ -144,12 +146,9 @@
         List<SimAttempt> waiting = attempts.values().stream()
                 .filter(attempt -> attempt.request().firstTokenNanos < 0)
                 .toList();
-        Optional<Move> move = policy.proposeMove(
-                waiting.stream()
-                        .map(SimAttempt::ticket)
-                        .filter(ticket -> ticket != null)
-                        .toList(),
-                views());
+        Optional<Move> move =
+                policy.proposeMove(waiting.stream().map(SimAttempt::ticket).toList(), views());
+
         if (move.isEmpty()) {
             return;
         }
--- a/coordination/src/test/java/io/endiveshed/coordination/admission/AdmissionTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/admission/AdmissionTest.java
@@ -6,16 +6,10 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.ClientAccountId;
-import io.endiveshed.base.id.FailureDomain;
-import io.endiveshed.base.id.Incarnation;
-import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.Region;
-import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.ManualClock;
+import io.endiveshed.coordination.TestTargets;
 import io.endiveshed.coordination.cost.LengthBand;
-import io.endiveshed.coordination.membership.TargetLoad;
-import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.routing.BandWork;
 import io.endiveshed.coordination.routing.RoutingChoice;
@@ -28,15 +22,7 @@
 
 final class AdmissionTest {
     private static final long SECOND = ManualClock.SECOND;
-    private static final TargetView TARGET = new TargetView(
-            new TargetId(new InstanceId("runner"), new Incarnation(1)),
-            TargetKind.ENGINE,
-            List.of("m"),
-            new Region("region"),
-            new FailureDomain("domain"),
-            450_000,
-            TargetState.LIVE,
-            TargetLoad.NONE);
+    private static final TargetView TARGET = TestTargets.target(0);
 
     private final ManualClock clock = new ManualClock();
     private final AdmissionController admission = new AdmissionController(AdmissionSettings.DEFAULT, clock);
--- a/coordination/src/test/java/io/endiveshed/coordination/admission/EntrySchedulerTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/admission/EntrySchedulerTest.java
@@ -1,18 +1,13 @@
 package io.endiveshed.coordination.admission;
 
 import static com.google.common.truth.Truth.assertThat;
+import static io.endiveshed.coordination.TestTargets.target;
 
 import io.endiveshed.base.id.ClientAccountId;
-import io.endiveshed.base.id.FailureDomain;
-import io.endiveshed.base.id.Incarnation;
-import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.Region;
-import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.ManualClock;
+import io.endiveshed.coordination.TestTargets;
 import io.endiveshed.coordination.cost.CostModel;
-import io.endiveshed.coordination.membership.TargetLoad;
-import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.routing.BandWork;
@@ -40,7 +35,7 @@
     private final PrefixAffinity affinity = new PrefixAffinity(10);
     private final EntryScheduler scheduler = new EntryScheduler(
             new CostAwareSelector(
-                    RoutingSettings.defaults(new FailureDomain("domain")),
+                    RoutingSettings.defaults(TestTargets.domain(0)),
                     new CostModel(CostModel.Coefficients.DEFAULT),
                     outstanding,
                     health,
@@ -86,16 +81,4 @@
                 .isEqualTo(2 * moved.choice().work().total());
         assertThat(scheduler.proposeMove(waiting, targets).isPresent()).isFalse();
     }
-
-    private static TargetView target(int index) {
-        return new TargetView(
-                new TargetId(new InstanceId("runner-" + index), new Incarnation(index)),
-                TargetKind.ENGINE,
-                List.of("m"),
-                new Region("region"),
-                new FailureDomain("domain"),
-                450_000,
-                TargetState.LIVE,
-                TargetLoad.NONE);
-    }
 }
--- a/coordination/src/test/java/io/endiveshed/coordination/routing/RoutingTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/routing/RoutingTest.java
@@ -1,17 +1,14 @@
 package io.endiveshed.coordination.routing;
 
 import static com.google.common.truth.Truth.assertThat;
+import static io.endiveshed.coordination.TestTargets.domain;
+import static io.endiveshed.coordination.TestTargets.target;
 
-import io.endiveshed.base.id.FailureDomain;
-import io.endiveshed.base.id.Incarnation;
-import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.ManualClock;
 import io.endiveshed.coordination.cost.CostModel;
 import io.endiveshed.coordination.cost.LengthBand;
-import io.endiveshed.coordination.membership.TargetLoad;
 import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
 import java.util.ArrayList;
@@ -164,20 +161,4 @@
         }
         return targets;
     }
-
-    private static FailureDomain domain(int index) {
-        return new FailureDomain("domain-" + index % 3);
-    }
-
-    private static TargetView target(int index, TargetState state) {
-        return new TargetView(
-                new TargetId(new InstanceId("runner-" + index), new Incarnation(index)),
-                TargetKind.ENGINE,
-                List.of("m"),
-                new Region("region"),
-                domain(index),
-                450_000,
-                state,
-                TargetLoad.NONE);
-    }
 }
