--- a/coordination/src/main/java/io/endiveshed/coordination/routing/TargetHealth.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/routing/TargetHealth.java
@@ -61,6 +61,7 @@
             recent.add(now);
             return recent;
         });
+        losses.values().removeIf(times -> now - times.get(times.size() - 1) > FLAP_WINDOW_NANOS);
         speeds.remove(target);
     }
 
