--- a/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/queueing/QueueSettings.java
@@ -4,7 +4,8 @@
  * Settings of {@link ShortFirstQueue}.
  *
  * @param kvCapacityTokens KV memory of the engine, in tokens
- * @param shortReserveTokens part of it that only short prompts may use, in tokens
+ * @param shortReserveTokens part of it that longer prompts leave free for short ones, in tokens; a single longer prompt
+ *     that needs it may use it
  * @param maxWaiting most requests that wait
  * @param maxRunning most requests in the engine
  * @param maxLongerPrefills most requests above the short band whose prefill is in progress; the rest wait in this
@@ -21,10 +22,10 @@
         double delayPerWork,
         long maxDelayNanos) {
     private static final long RESERVE_ONE_IN = 10;
-    private static final long MAX_DELAY_NANOS = 20_000_000_000L;
+    private static final long MAX_DELAY_NANOS = 40_000_000_000L;
 
     /** Returns the settings that were best in measurements.md for an engine with this KV memory. */
     public static QueueSettings defaults(long kvCapacityTokens) {
-        return new QueueSettings(kvCapacityTokens, kvCapacityTokens / RESERVE_ONE_IN, 1_024, 64, 2, 8, MAX_DELAY_NANOS);
+        return new QueueSettings(kvCapacityTokens, kvCapacityTokens / RESERVE_ONE_IN, 1_024, 64, 4, 8, MAX_DELAY_NANOS);
     }
 }
