--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLink.java
@@ -25,7 +25,8 @@
     /** Sequence of the ping after {@link Message.Leaving}; its pong shows that the entry has seen the announcement. */
     private static final long LEAVING_PING = 0;
 
-    private static final long PING_INTERVAL_MILLIS = 2_000;
+    /** A third of the read timeout of links, which the pongs keep from ending at the sidecar. */
+    private static final long PING_INTERVAL_MILLIS = 3_000;
 
     private final LinkContext context;
     private final ListedInstance entry;
