--- a/coordination/src/main/java/io/endiveshed/coordination/membership/TargetTable.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/membership/TargetTable.java
@@ -2,7 +2,7 @@
 
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.TargetId;
-import io.endiveshed.coordination.blackboard.Cell;
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.ports.platform.ListedInstance;
 import java.time.Duration;
 import java.util.Collection;
--- a/coordination/src/test/java/io/endiveshed/coordination/membership/TargetTableTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/membership/TargetTableTest.java
@@ -8,7 +8,7 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
-import io.endiveshed.coordination.blackboard.Cell;
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.ports.platform.ListedInstance.Role;
 import java.time.Duration;
--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -1,9 +1,11 @@
 package io.endiveshed.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.membership.TargetTable;
 import io.endiveshed.coordination.routing.LeastOutstandingSelector;
+import io.endiveshed.entry.internal.CallCounters;
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.DrainGate;
@@ -73,6 +75,8 @@
     private final ThreadPoolExecutor parsers;
     private final HttpServer callers;
     private final LinkServer links;
+    private final Dispatcher dispatcher;
+    private final MetricRegistry metrics = new MetricRegistry();
 
     /** Makes a daemon without the platform's list of instances. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
@@ -97,8 +101,9 @@
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
         this.table = new TargetTable(blackboard.fleet(), SystemNanoClock.INSTANCE, settings.place());
         this.sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table);
-        Dispatcher dispatcher = new Dispatcher(
-                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops);
+        CallCounters counters = new CallCounters(metrics);
+        this.dispatcher = new Dispatcher(
+                sidecars, blackboard, new LeastOutstandingSelector(sidecars::outstanding), random, loops, counters);
         sidecars.callMessages(dispatcher);
         this.gate = new DrainGate(new CallerApi(blackboard, dispatcher, parsers));
         this.callers = new HttpServer(loops, settings.callerAddress(), settings.limits(), gate);
@@ -108,6 +113,7 @@
     /** Starts to accept links and callers. */
     public void start() {
         links.start();
+        dispatcher.start();
         callers.start();
         every(TargetTable.TICK_INTERVAL.toMillis(), table::tick);
         every(TimeUnit.SECONDS.toMillis(LIST_INTERVAL_SECONDS), this::readList);
@@ -119,6 +125,11 @@
                 linkPort());
     }
 
+    /** Returns the metrics of the daemon. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
     /** Returns the port on which callers are answered. */
     public int callerPort() {
         return callers.port();
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -21,7 +21,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.tinylog.Logger;
 
@@ -38,6 +37,7 @@
     private final Map<Link, byte[]> challenged = new ConcurrentHashMap<>();
     private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
     private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
+    private final Map<TargetId, Integer> outstanding = new ConcurrentHashMap<>();
     private CallMessages callMessages;
     private volatile long leavingGraceMillis = NOT_LEAVING;
 
@@ -74,16 +74,18 @@
 
     /** Returns the number of requests that this entry has outstanding on a target. */
     public int outstanding(TargetId target) {
-        Sidecar sidecar = sidecars.get(target);
-        return sidecar == null ? 0 : sidecar.outstanding.get();
+        return outstanding.getOrDefault(target, 0);
     }
 
-    /** Adds to the number of outstanding requests of a target. */
+    /**
+     * Adds to the number of outstanding requests of a target. The number outlives the links, because work continues on
+     * a target while its links are broken.
+     */
     public void addOutstanding(TargetId target, int change) {
-        Sidecar sidecar = sidecars.get(target);
-        if (sidecar != null) {
-            sidecar.outstanding.addAndGet(change);
-        }
+        outstanding.compute(target, (id, count) -> {
+            int sum = (count == null ? 0 : count) + change;
+            return sum == 0 ? null : sum;
+        });
     }
 
     @Override
@@ -114,7 +116,7 @@
         if (message instanceof Message.Ping ping) {
             link.send(new Message.Pong(ping.sequence()));
         } else {
-            callMessages.received(target, message);
+            callMessages.received(target, link, message);
         }
     }
 
@@ -131,7 +133,7 @@
             sidecars.computeIfPresent(target, (id, present) -> present.hasNoLane() ? null : present);
             Logger.info("target {} has lost a link", target);
         }
-        callMessages.linkClosed(target);
+        callMessages.linkClosed(target, link);
     }
 
     private void introduce(Link link, Message message) {
@@ -187,6 +189,7 @@
                 }
             });
         }
+        callMessages.linkOpened(target);
     }
 
     private static TargetView view(TargetId target, Message.Hello hello) {
@@ -219,14 +222,16 @@
 
     /** The links of one sidecar and the work outstanding on it. */
     private static final class Sidecar {
-        private final AtomicInteger outstanding = new AtomicInteger();
         private volatile Map<Lane, Link> lanes = Map.of();
 
         synchronized void add(Lane lane, Link link) {
             Map<Lane, Link> copy = new EnumMap<>(Lane.class);
             copy.putAll(lanes);
-            copy.put(lane, link);
+            Link replaced = copy.put(lane, link);
             lanes = copy;
+            if (replaced != null) {
+                replaced.close();
+            }
         }
 
         /** Removes a link and tells whether the sidecar has lost a lane with it. */
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -65,6 +65,11 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Closes the open connections, whatever runs on them. */
+    public void closeConnections() {
+        connections.closeAll();
+    }
+
     /** Closes each connection after the response to its running or next request, which says so. */
     public void drain() {
         connections.drain();
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnections.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnections.java
@@ -39,6 +39,11 @@
         channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(event));
     }
 
+    /** Closes all connections, whatever runs on them. */
+    public void closeAll() {
+        channels.close().syncUninterruptibly();
+    }
+
     /** Returns the number of open connections. */
     public int count() {
         return channels.size();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -1,11 +1,14 @@
 package io.endiveshed.sidecar;
 
 import io.endiveshed.base.id.Incarnation;
+import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.membership.EntryMesh;
 import io.endiveshed.coordination.membership.EntrySelection;
+import io.endiveshed.net.engine.HttpEnginePort;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.ports.platform.InstanceList;
+import io.endiveshed.sidecar.internal.EngineOrphans;
 import io.endiveshed.sidecar.internal.EntryLinks;
 import io.endiveshed.sidecar.internal.LinkContext;
 import io.endiveshed.sidecar.internal.TargetCalls;
@@ -83,9 +86,18 @@
         followHours();
         loops.scheduleAtFixedRate(
                 this::followHours, HOURS_INTERVAL_MILLIS, HOURS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        every(TargetCalls.SWEEP_INTERVAL, calls::sweep);
+        if (settings.targetKind() == TargetKind.ENGINE) {
+            EngineOrphans orphans = new EngineOrphans(new HttpEnginePort(target), calls::attempts);
+            every(EngineOrphans.CHECK_INTERVAL, orphans::check);
+        }
         Logger.info("sidecar of {} started: target {}", settings.instance(), settings.targetAddress());
     }
 
+    private void every(Duration interval, Runnable task) {
+        loops.scheduleWithFixedDelay(task, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Announces that the target leaves, refuses new work, lets running work finish within the grace period of the
      * settings, fails the rest and closes every connection. Further calls have no effect.
