--- a/coordination/src/main/java/io/endiveshed/coordination/orders/ReplicaController.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/orders/ReplicaController.java
@@ -5,7 +5,7 @@
 import io.endiveshed.base.id.ModelName;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
-import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.coordination.membership.FleetView;
 import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.coordination.membership.TargetView;
@@ -42,7 +42,9 @@
 
     private final ModelName model;
     private final Supplier<Optional<FencingToken>> lease;
-    private final Blackboard blackboard;
+    private final Cell<FleetView> fleetCell;
+    private final Cell<ReplicaPlan> planCell;
+    private final Cell<ReplicaOrders> ordersCell;
     private final NanoClock clock;
     private final Map<FailureDomain, Long> wrongSince = new HashMap<>();
     private final Map<FailureDomain, Long> correctedAt = new HashMap<>();
@@ -50,10 +52,17 @@
 
     /** Makes a controller; the supplier returns the token while the lease of the model is held. */
     public ReplicaController(
-            ModelName model, Supplier<Optional<FencingToken>> lease, Blackboard blackboard, NanoClock clock) {
+            ModelName model,
+            Supplier<Optional<FencingToken>> lease,
+            Cell<FleetView> fleet,
+            Cell<ReplicaPlan> plan,
+            Cell<ReplicaOrders> orders,
+            NanoClock clock) {
         this.model = model;
         this.lease = lease;
-        this.blackboard = blackboard;
+        this.fleetCell = fleet;
+        this.planCell = plan;
+        this.ordersCell = orders;
         this.clock = clock;
     }
 
@@ -65,16 +74,12 @@
             wrongSince.clear();
             correctedAt.clear();
         } else {
-            FleetView fleet = blackboard.fleet().read();
+            FleetView fleet = fleetCell.read();
             orders.removeIf(order -> isOver(order, fleet, token.get()));
-            blackboard
-                    .replicaPlan()
-                    .read()
-                    .of(model)
-                    .forEach((domain, wanted) -> correct(domain, wanted, fleet, token.get()));
+            planCell.read().of(model).forEach((domain, wanted) -> correct(domain, wanted, fleet, token.get()));
         }
         List<ReplicaOrder> published = List.copyOf(orders);
-        blackboard.replicaOrders().update(all -> all.with(model, published));
+        ordersCell.update(all -> all.with(model, published));
     }
 
     private void correct(FailureDomain domain, int wanted, FleetView fleet, FencingToken token) {
@@ -129,7 +134,7 @@
 
     /** Returns engines without a model, of which no controller of this process has ordered anything. */
     private List<TargetView> spare(FleetView fleet, FailureDomain domain) {
-        Set<TargetId> taken = blackboard.replicaOrders().read().byModel().values().stream()
+        Set<TargetId> taken = ordersCell.read().byModel().values().stream()
                 .flatMap(List::stream)
                 .map(ReplicaOrder::target)
                 .collect(Collectors.toSet());
--- a/coordination/src/test/java/io/endiveshed/coordination/membership/ConcurrencyTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/membership/ConcurrencyTest.java
@@ -6,7 +6,7 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetId;
 import io.endiveshed.base.id.TargetKind;
-import io.endiveshed.coordination.blackboard.Cell;
+import io.endiveshed.coordination.cell.Cell;
 import java.util.List;
 import org.agrona.concurrent.CachedNanoClock;
 import org.jetbrains.lincheck.datastructures.IntGen;
--- a/coordination/src/test/java/io/endiveshed/coordination/orders/ReplicaControllerTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/orders/ReplicaControllerTest.java
@@ -30,7 +30,8 @@
     private final CachedNanoClock clock = new CachedNanoClock();
     private final Blackboard blackboard = new Blackboard();
     private Optional<FencingToken> token = Optional.of(new FencingToken(3));
-    private final ReplicaController controller = new ReplicaController(MODEL, () -> token, blackboard, clock);
+    private final ReplicaController controller = new ReplicaController(
+            MODEL, () -> token, blackboard.fleet(), blackboard.replicaPlan(), blackboard.replicaOrders(), clock);
 
     /** Guards against corrections of a short interruption and against many at once. */
     @Test
