--- a/sidecar/src/test/java/io/endiveshed/sidecar/internal/RevisionGateTest.java
+++ b/sidecar/src/test/java/io/endiveshed/sidecar/internal/RevisionGateTest.java
@@ -9,7 +9,7 @@
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.base.time.Scheduler;
-import io.endiveshed.coordination.blackboard.Cell;
+import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.coordination.config.ActiveConfiguration;
 import io.endiveshed.coordination.config.Configuration;
 import io.endiveshed.coordination.config.ConfigurationContent;
@@ -108,6 +108,9 @@
     }
 
     private final class FakeLink implements Link {
+        @Override
+        public void established() {}
+
         @Override
         public void send(Message message) {
             sent.add(message);
