--- a/sidecar/src/test/java/io/endiveshed/sidecar/internal/RevisionGateTest.java
+++ b/sidecar/src/test/java/io/endiveshed/sidecar/internal/RevisionGateTest.java
@@ -111,6 +111,11 @@
         @Override
         public void established() {}
 
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+
         @Override
         public void send(Message message) {
             sent.add(message);
