Take clocks, target client and dialer of the data path from the caller

Cause: Call, TargetCall, TargetCalls and the links read System.nanoTime() and used the Netty classes directly, so that they could not run in virtual time. After: NanoClock, TargetClient, TargetExchange and Dialer are passed in; the daemons pass the system clock and the Netty classes.

--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -109,7 +109,7 @@
                 PARSER_THREADS, PARSER_THREADS, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(PARSER_QUEUE));
         Incarnation incarnation = Incarnation.random(random);
         this.table = new TargetTable(blackboard.fleet(), SystemNanoClock.INSTANCE, settings.place());
-        this.sidecars = new SidecarLinks(settings, incarnation, random, blackboard, table);
+        this.sidecars = new SidecarLinks(settings, incarnation, random, blackboard, table, SystemNanoClock.INSTANCE);
         ActiveConfiguration active = new ActiveConfiguration(blackboard.configuration(), metrics);
         sidecars.configuration(new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics));
         this.platform = settings.platformAddress()
@@ -122,6 +122,7 @@
                 new LeastOutstandingSelector(sidecars::outstanding),
                 random,
                 loops,
+                SystemNanoClock.INSTANCE,
                 counters,
                 new CallLatencies(metrics));
         sidecars.callMessages(dispatcher);
--- a/entry/src/main/java/io/endiveshed/entry/internal/Call.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Call.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Future;
+import org.agrona.concurrent.NanoClock;
 
 /**
  * One request of a caller from dispatch to its final answer, over one or more attempts. Methods are synchronized on the
@@ -27,7 +28,8 @@
     private final CallPlan plan;
     private final ResponseSink response;
     private final AttemptEvents events;
-    private final long startNanos = System.nanoTime();
+    private final NanoClock clock;
+    private final long startNanos;
     private final List<TargetId> tried = new ArrayList<>(1);
     private Attempt current;
     private Message.ResponseHead head;
@@ -36,11 +38,13 @@
     private boolean started;
     private boolean finished;
 
-    Call(RequestId id, CallPlan plan, ResponseSink response, AttemptEvents events) {
+    Call(RequestId id, CallPlan plan, ResponseSink response, AttemptEvents events, NanoClock clock) {
         this.id = id;
         this.plan = plan;
         this.response = response;
         this.events = events;
+        this.clock = clock;
+        this.startNanos = clock.nanoTime();
     }
 
     RequestId id() {
@@ -63,7 +67,7 @@
 
     /** Returns the time since the call was made, in microseconds. */
     long elapsedMicros() {
-        return (System.nanoTime() - startNanos) / 1_000;
+        return (clock.nanoTime() - startNanos) / 1_000;
     }
 
     synchronized void timer(Future<?> value) {
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallPlan.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallPlan.java
@@ -19,7 +19,7 @@
  * @param body body for the target
  * @param streams whether the caller asked for an event stream
  */
-record CallPlan(
+public record CallPlan(
         RoutingRequest routing,
         ClientAccountId account,
         int priority,
--- a/entry/src/main/java/io/endiveshed/entry/internal/Cancels.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Cancels.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.agrona.concurrent.NanoClock;
 
 /** Repeats each {@code Cancel} until the sidecar acknowledges it, so that no attempt keeps engine memory. */
 final class Cancels {
@@ -20,28 +21,34 @@
 
     private final SidecarLinks sidecars;
     private final CallCounters counters;
+    private final NanoClock clock;
     private final Map<AttemptId, Pending> pending = new ConcurrentHashMap<>();
 
-    Cancels(SidecarLinks sidecars, CallCounters counters) {
+    Cancels(SidecarLinks sidecars, CallCounters counters, NanoClock clock) {
         this.sidecars = sidecars;
         this.counters = counters;
+        this.clock = clock;
     }
 
     /** Cancels an attempt now and until it is acknowledged. */
     void cancel(AttemptId attempt, TargetId target, long bodyBytes) {
         counters.cancel();
-        Pending cancel = new Pending(target, bodyBytes, System.nanoTime());
+        Pending cancel = new Pending(target, bodyBytes, clock.nanoTime());
         pending.put(attempt, cancel);
         send(attempt, cancel);
     }
 
+    boolean isIdle() {
+        return pending.isEmpty();
+    }
+
     void acknowledged(AttemptId attempt) {
         pending.remove(attempt);
     }
 
     /** Sends every cancel again that was not acknowledged. */
     void repeat() {
-        long now = System.nanoTime();
+        long now = clock.nanoTime();
         pending.forEach((attempt, cancel) -> {
             boolean linked = send(attempt, cancel);
             if (!linked && now - cancel.sinceNanos() > MAX_AGE.toNanos()) {
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
+import org.agrona.concurrent.NanoClock;
 
 /** Sends requests to targets and their answers to callers. */
 public final class Dispatcher implements CallMessages, AttemptEvents {
@@ -50,6 +51,7 @@
 
     private final AtomicLong requests = new AtomicLong();
     private final ScheduledExecutorService timers;
+    private final NanoClock clock;
     private final CallCounters counters;
     private final CallLatencies latencies;
     private final RetryTokens retries = new RetryTokens();
@@ -64,6 +66,7 @@
             TargetSelector selector,
             RandomGenerator random,
             ScheduledExecutorService timers,
+            NanoClock clock,
             CallCounters counters,
             CallLatencies latencies) {
         this.sidecars = sidecars;
@@ -71,9 +74,10 @@
         this.selector = selector;
         this.idPrefix = random.nextLong();
         this.timers = timers;
+        this.clock = clock;
         this.counters = counters;
         this.latencies = latencies;
-        this.cancels = new Cancels(sidecars, counters);
+        this.cancels = new Cancels(sidecars, counters, clock);
         this.revocations = new Revocations(sidecars, blackboard, timers);
     }
 
@@ -84,8 +88,8 @@
     }
 
     /** Sends a request to a target, or refuses it at once. */
-    void dispatch(CallPlan plan, ResponseSink response) {
-        Call call = new Call(new RequestId(idPrefix, requests.incrementAndGet()), plan, response, this);
+    public void dispatch(CallPlan plan, ResponseSink response) {
+        Call call = new Call(new RequestId(idPrefix, requests.incrementAndGet()), plan, response, this, clock);
         retries.requested();
         calls.put(call.id(), call);
         call.timer(timers.schedule(
@@ -98,6 +102,11 @@
         attempt(call, CallFailures.noTarget(plan.routing()));
     }
 
+    /** Tells whether no call, cancel or revocation is pending. */
+    public boolean isIdle() {
+        return calls.isEmpty() && cancels.isIdle() && revocations.isIdle();
+    }
+
     @Override
     public void received(TargetId target, Link link, Message message) {
         if (message instanceof Message.CancelAck ack) {
--- a/entry/src/main/java/io/endiveshed/entry/internal/Revocations.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Revocations.java
@@ -51,6 +51,10 @@
                         attempt, plan.account().value(), plan.routing().name(), plan.idempotencyKey()));
     }
 
+    boolean isIdle() {
+        return waiting.isEmpty();
+    }
+
     /** Handles the result from a sidecar. */
     void received(Message.RevokeResult result) {
         finish(result.attempt(), result.outcome());
--- a/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/SidecarLinks.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
+import org.agrona.concurrent.NanoClock;
 import org.tinylog.Logger;
 
 /** The links from sidecars: authenticates them, keeps the fleet view up to date and hands on messages about calls. */
@@ -36,6 +37,7 @@
     private final RandomGenerator random;
     private final Blackboard blackboard;
     private final TargetTable table;
+    private final NanoClock clock;
     private final Map<Link, byte[]> challenged = new ConcurrentHashMap<>();
     private final Map<Link, TargetId> targets = new ConcurrentHashMap<>();
     private final Map<TargetId, Sidecar> sidecars = new ConcurrentHashMap<>();
@@ -50,12 +52,14 @@
             Incarnation incarnation,
             RandomGenerator random,
             Blackboard blackboard,
-            TargetTable table) {
+            TargetTable table,
+            NanoClock clock) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.random = random;
         this.blackboard = blackboard;
         this.table = table;
+        this.clock = clock;
     }
 
     /** Sets the receiver of messages about calls; must be called before the first link opens. */
@@ -219,10 +223,10 @@
                 TargetLoad.NONE);
     }
 
-    private static TargetLoad load(Message.LoadReport report) {
+    private TargetLoad load(Message.LoadReport report) {
         return new TargetLoad(
                 report.sequence(),
-                System.nanoTime(),
+                clock.nanoTime(),
                 report.running(),
                 report.queued(),
                 report.queuedTokens(),
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -22,7 +22,7 @@
  * HttpExchange exchange = client.send("GET", "/load", List.of(), new byte[0], listener);
  * }</pre>
  */
-public final class HttpClient {
+public final class HttpClient implements TargetClient {
     /** Time to open a connection, in milliseconds. */
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
@@ -47,6 +47,7 @@
     }
 
     /** Sends a request; the listener hears of the response on the connection's event loop. */
+    @Override
     public HttpExchange send(
             String method, String path, List<Header> headers, byte[] body, HttpResponseListener listener) {
         HttpExchange exchange = new HttpExchange(pool, listener);
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -14,7 +14,7 @@
 import java.util.List;
 
 /** One call of an {@link HttpClient}. Safe for use by several threads. */
-public final class HttpExchange {
+public final class HttpExchange implements TargetExchange {
     private final SimpleChannelPool pool;
     private final HttpResponseListener listener;
     private Channel channel;
@@ -26,7 +26,7 @@
         this.listener = listener;
     }
 
-    /** Gives up the call and closes its connection; the listener hears of it as a failure, unless it has ended. */
+    @Override
     public void cancel() {
         Channel current;
         synchronized (this) {
@@ -38,7 +38,7 @@
         }
     }
 
-    /** Stops or continues to read the response, which holds back the server. */
+    @Override
     public void pause(boolean value) {
         synchronized (this) {
             paused = value;
--- a/net/src/main/java/io/endiveshed/net/link/LinkDialer.java
+++ b/net/src/main/java/io/endiveshed/net/link/LinkDialer.java
@@ -9,8 +9,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 
-/** Opens links to entry daemons. */
-public final class LinkDialer {
+/** Opens links to entry daemons over TCP. */
+public final class LinkDialer implements Dialer {
     /** Time to open a connection, in milliseconds. */
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
@@ -22,7 +22,7 @@
         this.loops = loops;
     }
 
-    /** Opens a link; runs the action if that fails. Otherwise the listener hears of the link. */
+    @Override
     public void dial(InetSocketAddress address, LinkListener listener, Runnable whenFailed) {
         new Bootstrap()
                 .group(loops)
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -123,11 +123,19 @@
         this.target = new HttpClient(loops, settings.targetAddress());
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
-        this.calls = new TargetCalls(settings, incarnation, target, keyedCalls(store, random, incarnation));
+        this.calls = new TargetCalls(
+                settings, incarnation, target, keyedCalls(store, random, incarnation), SystemNanoClock.INSTANCE);
         ActiveConfiguration active = new ActiveConfiguration(new Cell<>(Configuration.NONE), metrics);
         ConfigurationExchange configuration = new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics);
-        LinkContext context =
-                new LinkContext(settings, incarnation, new LinkDialer(loops), loops, random, calls, configuration);
+        LinkContext context = new LinkContext(
+                settings,
+                incarnation,
+                new LinkDialer(loops),
+                SystemNanoClock.INSTANCE,
+                loops,
+                random,
+                calls,
+                configuration);
         EntrySelection selection = new EntrySelection(settings.instance(), settings.place());
         EntryMesh mesh = new EntryMesh(selection, EntryLinks.seeds(settings), SystemNanoClock.INSTANCE);
         this.entries = new EntryLinks(context, mesh, list);
@@ -138,7 +146,7 @@
         ClaimEnvironment environment =
                 new ClaimEnvironment(store, new ExecutorScheduler(loops), clock::millis, random, incarnation);
         return new KeyedCalls(
-                service, new ClaimLog(service, ClaimSettings.builder().build(), environment));
+                service, new ClaimLog(service, ClaimSettings.builder().build(), environment), SystemNanoClock.INSTANCE);
     }
 
     /** Opens links to the entry daemons, or waits for the opening time; at closing time the sidecar stops. */
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLinks.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryLinks.java
@@ -119,7 +119,7 @@
     }
 
     private void observe() {
-        long now = System.nanoTime();
+        long now = context.clock().nanoTime();
         pairs.forEach((address, pair) -> {
             pair.observe(now);
             if (pair.isDownFor(UNREACHABLE, now)) {
@@ -136,7 +136,7 @@
 
     /** Closes links that are not wanted, those that work only when all wanted ones do and after a while without calls. */
     private void closeSurplus(Set<Address> wanted) {
-        long now = System.nanoTime();
+        long now = context.clock().nanoTime();
         boolean complete =
                 wanted.stream().allMatch(address -> pairs.get(address).isUp());
         for (Iterator<Map.Entry<Address, EntryPair>> it = pairs.entrySet().iterator(); it.hasNext(); ) {
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryPair.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/EntryPair.java
@@ -11,11 +11,13 @@
 final class EntryPair {
     private final List<EntryLink> lanes;
     private final LinkContext context;
-    private long downSinceNanos = System.nanoTime();
-    private long busyNanos = System.nanoTime();
+    private long downSinceNanos;
+    private long busyNanos;
 
     EntryPair(LinkContext context, ListedInstance entry, Runnable whenLeaving) {
         this.context = context;
+        this.downSinceNanos = context.clock().nanoTime();
+        this.busyNanos = downSinceNanos;
         this.lanes = Arrays.stream(Lane.values())
                 .map(lane -> new EntryLink(context, entry, lane, this::owns, whenLeaving))
                 .toList();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCall.java
@@ -18,7 +18,7 @@
     private final KeyedCalls owner;
     private State state = State.CLAIMING;
 
-    /** Makes a fence; the call may not start after the given time of {@link System#nanoTime()}. */
+    /** Makes a fence; the call may not start after the given time of the owner's clock. */
     KeyedCall(KeyedCalls owner, ClaimLog log, ClaimKey key, AttemptId attempt, long endNanos) {
         this.owner = owner;
         this.log = log;
@@ -47,7 +47,7 @@
     @Override
     public synchronized boolean start() {
         // A process that was paused must not start a call whose entry has answered its caller meanwhile.
-        if (state != State.CLAIMING || System.nanoTime() - endNanos >= 0 || !log.start(attempt)) {
+        if (state != State.CLAIMING || owner.clock().nanoTime() - endNanos >= 0 || !log.start(attempt)) {
             return false;
         }
         state = State.STARTED;
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCalls.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.agrona.concurrent.NanoClock;
 
 /** Runs non-idempotent calls only through the claim log, and answers {@code Revoke}. */
 public final class KeyedCalls {
@@ -34,12 +35,14 @@
 
     private final ServiceName service;
     private final ClaimLog log;
+    private final NanoClock clock;
     private final AtomicInteger completing = new AtomicInteger();
 
     /** Makes the gate of one service's calls. */
-    public KeyedCalls(ServiceName service, ClaimLog log) {
+    public KeyedCalls(ServiceName service, ClaimLog log, NanoClock clock) {
         this.service = service;
         this.log = log;
+        this.clock = clock;
     }
 
     /** Returns the fence of a dispatched call. */
@@ -47,7 +50,7 @@
         if (dispatch.idempotencyKey().isEmpty()) {
             return CallFence.NONE;
         }
-        long end = System.nanoTime() + dispatch.remainingMillis() * 1_000_000;
+        long end = clock.nanoTime() + dispatch.remainingMillis() * 1_000_000;
         return new KeyedCall(this, log, key(dispatch.account(), dispatch.idempotencyKey()), dispatch.attempt(), end);
     }
 
@@ -74,6 +77,10 @@
         return completing.get() == 0;
     }
 
+    NanoClock clock() {
+        return clock;
+    }
+
     void completed(CompletionStage<Void> written) {
         completing.incrementAndGet();
         written.thenRun(completing::decrementAndGet);
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/LinkContext.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/LinkContext.java
@@ -2,10 +2,11 @@
 
 import io.endiveshed.base.id.Incarnation;
 import io.endiveshed.coordination.config.ConfigurationExchange;
-import io.endiveshed.net.link.LinkDialer;
+import io.endiveshed.net.link.Dialer;
 import io.endiveshed.sidecar.SidecarSettings;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.random.RandomGenerator;
+import org.agrona.concurrent.NanoClock;
 
 /**
  * What all links of one sidecar share.
@@ -13,6 +14,7 @@
  * @param settings settings of the sidecar
  * @param incarnation incarnation of the sidecar
  * @param dialer opens connections
+ * @param clock monotonic clock of the timers
  * @param timers runs reports and reconnections
  * @param random randomness for nonces and back-off
  * @param calls calls of the target
@@ -21,7 +23,8 @@
 public record LinkContext(
         SidecarSettings settings,
         Incarnation incarnation,
-        LinkDialer dialer,
+        Dialer dialer,
+        NanoClock clock,
         ScheduledExecutorService timers,
         RandomGenerator random,
         TargetCalls calls,
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCall.java
@@ -4,9 +4,9 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.AttemptId;
-import io.endiveshed.net.http.HttpClient;
-import io.endiveshed.net.http.HttpExchange;
 import io.endiveshed.net.http.HttpResponseListener;
+import io.endiveshed.net.http.TargetClient;
+import io.endiveshed.net.http.TargetExchange;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.protocol.Header;
 import io.endiveshed.protocol.Message;
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.agrona.concurrent.NanoClock;
 
 /**
  * One call from its dispatch until the entry has acknowledged its end. Methods are synchronized on the call.
@@ -32,17 +33,18 @@
             Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer");
 
     private final Message.Dispatch dispatch;
-    private final HttpClient target;
+    private final TargetClient target;
     private final CallFence fence;
     private final Consumer<TargetCall> whenReleased;
-    private final long acceptedNanos = System.nanoTime();
+    private final NanoClock clock;
+    private final long acceptedNanos;
     private final ResponseWindow window = new ResponseWindow();
     private Link link;
     private long detachedNanos;
     private byte[] body;
     private int bodyReceived;
     private boolean bodyWhole;
-    private HttpExchange exchange;
+    private TargetExchange exchange;
     private Message.ResponseHead head;
     private Message.AttemptFailed failure;
     private long queueMicros;
@@ -54,10 +56,13 @@
     TargetCall(
             Link link,
             Message.Dispatch dispatch,
-            HttpClient target,
+            TargetClient target,
             CallFence fence,
+            NanoClock clock,
             Consumer<TargetCall> whenReleased) {
         this.fence = fence;
+        this.clock = clock;
+        this.acceptedNanos = clock.nanoTime();
         this.link = link;
         this.dispatch = dispatch;
         this.target = target;
@@ -149,7 +154,7 @@
             return false;
         }
         run = true;
-        queueMicros = (System.nanoTime() - acceptedNanos) / 1_000;
+        queueMicros = (clock.nanoTime() - acceptedNanos) / 1_000;
         List<Header> headers = new ArrayList<>(dispatch.headers());
         headers.add(new Header("x-request-id", dispatch.attempt().toString()));
         headers.add(new Header("x-priority", Integer.toString(dispatch.priority())));
@@ -167,7 +172,7 @@
     synchronized void detach(Link closed) {
         if (link == closed) {
             link = null;
-            detachedNanos = System.nanoTime();
+            detachedNanos = clock.nanoTime();
         }
     }
 
@@ -201,12 +206,12 @@
 
     /** Tells whether the call has been without a link for longer than the time. */
     synchronized boolean isDetachedLonger(long nanos) {
-        return link == null && System.nanoTime() - detachedNanos > nanos;
+        return link == null && clock.nanoTime() - detachedNanos > nanos;
     }
 
     /** Ends the call if its time is over. */
     void checkDeadline() {
-        boolean over = System.nanoTime() - acceptedNanos > dispatch.remainingMillis() * 1_000_000;
+        boolean over = clock.nanoTime() - acceptedNanos > dispatch.remainingMillis() * 1_000_000;
         if (over && !isReleased()) {
             fail(
                     ErrorKind.DEADLINE_EXCEEDED,
@@ -310,7 +315,7 @@
     }
 
     private void release() {
-        HttpExchange current;
+        TargetExchange current;
         synchronized (this) {
             if (released) {
                 return;
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/TargetCalls.java
@@ -4,7 +4,7 @@
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.base.id.Incarnation;
-import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.TargetClient;
 import io.endiveshed.net.link.Link;
 import io.endiveshed.protocol.Message;
 import io.endiveshed.sidecar.SidecarSettings;
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
+import org.agrona.concurrent.NanoClock;
 
 /** The calls of one target: receives their bodies, queues them and runs a bounded number at a time. */
 public final class TargetCalls {
@@ -30,8 +31,9 @@
 
     private final SidecarSettings settings;
     private final Incarnation incarnation;
-    private final HttpClient target;
+    private final TargetClient target;
     private final KeyedCalls keyed;
+    private final NanoClock clock;
     private final Map<AttemptId, TargetCall> calls = new ConcurrentHashMap<>();
     private final Set<TargetCall> waiting = new LinkedHashSet<>();
     private final Set<TargetCall> running = new LinkedHashSet<>();
@@ -40,8 +42,10 @@
     private volatile boolean draining;
 
     /** Makes the table of calls of one target. */
-    public TargetCalls(SidecarSettings settings, Incarnation incarnation, HttpClient target, KeyedCalls keyed) {
+    public TargetCalls(
+            SidecarSettings settings, Incarnation incarnation, TargetClient target, KeyedCalls keyed, NanoClock clock) {
         this.keyed = keyed;
+        this.clock = clock;
         this.settings = settings;
         this.incarnation = incarnation;
         this.target = target;
@@ -152,7 +156,7 @@
             refuse(link, dispatch, ErrorKind.OVERLOADED, "request bodies fill " + MAX_BODY_BYTES + " bytes");
             return;
         }
-        TargetCall call = new TargetCall(link, dispatch, target, keyed.fence(dispatch), this::released);
+        TargetCall call = new TargetCall(link, dispatch, target, keyed.fence(dispatch), clock, this::released);
         if (calls.putIfAbsent(dispatch.attempt(), call) != null) {
             bodyBytes.addAndGet(-dispatch.bodyBytes());
             droppedFrames.incrementAndGet();
