Run real entries and sidecars over faulty links in virtual time

Cause: at most one execution, not_run, whole answers and freed memory were checked for the claim log alone.

--- a/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/FaultyNetwork.java
@@ -21,6 +21,7 @@
     private final VirtualTime time;
     private final Random random;
     private final List<Pair> open = new ArrayList<>();
+    private int ends;
 
     FaultyNetwork(VirtualTime time, Random random) {
         this.time = time;
@@ -85,6 +86,7 @@
     private final class End implements Link {
         private final Pair pair;
         private final LinkListener listener;
+        private final int number = ends++;
         private long lastArrivalNanos;
         private boolean closed;
 
@@ -132,6 +134,12 @@
             return "virtual";
         }
 
+        /** Identity hash codes differ from run to run, and with them the order of maps of links. */
+        @Override
+        public int hashCode() {
+            return number;
+        }
+
         private void arrive(byte[] frame) {
             if (!pair.broken) {
                 listener.received(this, MessageCodec.decode(frame));
--- a/verification/src/test/java/io/endiveshed/verification/history/VirtualTime.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/VirtualTime.java
@@ -1,5 +1,7 @@
 package io.endiveshed.verification.history;
 
+import io.endiveshed.base.time.Scheduler;
+import java.time.Duration;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.AbstractExecutorService;
@@ -12,16 +14,21 @@
 import java.util.concurrent.TimeUnit;
 
 /** Executor whose clock jumps from one task to the next, so that a run depends on nothing but its seed. */
-final class VirtualTime extends AbstractExecutorService implements ScheduledExecutorService {
+final class VirtualTime extends AbstractExecutorService implements ScheduledExecutorService, Scheduler {
     private final PriorityQueue<Task<?>> tasks = new PriorityQueue<>();
     private long now;
     private long order;
 
-    /** Returns the current virtual time in nanoseconds. */
-    long nanoTime() {
+    @Override
+    public long nanoTime() {
         return now;
     }
 
+    @Override
+    public void schedule(Duration delay, Runnable action) {
+        schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /** Runs all tasks that are due within the given time. */
     void advance(long duration, TimeUnit unit) {
         long end = now + unit.toNanos(duration);
