--- a/verification/src/test/java/io/endiveshed/verification/history/FakeTarget.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/FakeTarget.java
@@ -31,9 +31,9 @@
     /** Header field with the idempotency key, or an empty value. */
     static final String KEY_HEADER = "x-history-key";
 
-    private static final int MAX_TRANSIT_MICROS = 3_000;
-    private static final int MAX_SERVICE_MILLIS = 80;
-    private static final int SLOW_FACTOR = 30;
+    private static final long MAX_TRANSIT_NANOS = 3_000_000;
+    private static final int MAX_SERVICE_MILLIS = 300;
+    private static final int SLOW_FACTOR = 10;
     private static final double MISSED_CLOSE = 0.2;
     private static final int CHUNK_BYTES = 8 * 1024;
 
@@ -102,11 +102,11 @@
     }
 
     private Duration transit() {
-        return Duration.ofNanos(1_000L * random.nextInt(MAX_TRANSIT_MICROS));
+        return Duration.ofNanos(random.nextLong(MAX_TRANSIT_NANOS));
     }
 
     private Duration service() {
-        long millis = 1 + random.nextInt(MAX_SERVICE_MILLIS);
+        long millis = 1L + random.nextInt(MAX_SERVICE_MILLIS);
         return Duration.ofMillis(slow ? millis * SLOW_FACTOR : millis);
     }
 
--- a/verification/src/test/java/io/endiveshed/verification/history/Scenario.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/Scenario.java
@@ -24,6 +24,7 @@
     private static final int MAX_FAULTS = 16;
     private static final int MAX_ANSWER_BYTES = 20_000;
     private static final int LONG_ANSWER_BYTES = 400_000;
+    private static final int MAX_LEAD_MILLIS = 400;
     private static final int ACTIVE_MILLIS = 12_000;
     private static final int WARM_UP_MILLIS = 300;
 
@@ -75,17 +76,18 @@
     }
 
     private void plan() {
+        List<Integer> faults = random.ints(random.nextInt(MAX_FAULTS + 1), 0, ACTIVE_MILLIS)
+                .boxed()
+                .toList();
+        faults.forEach(millis -> time.schedule(Duration.ofMillis(millis), this::fault));
         for (int i = 0; i < REQUESTS; i++) {
-            at(() -> request(random.nextInt(ENTRIES), random.nextBoolean()));
+            // Most requests come shortly before a fault, because a fault without work in progress tests little.
+            boolean anyTime = faults.isEmpty() || random.nextInt(4) == 0;
+            int millis = anyTime
+                    ? random.nextInt(ACTIVE_MILLIS)
+                    : faults.get(random.nextInt(faults.size())) - random.nextInt(MAX_LEAD_MILLIS);
+            time.schedule(Duration.ofMillis(millis), () -> request(random.nextInt(ENTRIES), random.nextBoolean()));
         }
-        int faults = random.nextInt(MAX_FAULTS + 1);
-        for (int i = 0; i < faults; i++) {
-            at(this::fault);
-        }
-    }
-
-    private void at(Runnable action) {
-        time.schedule(Duration.ofMillis(random.nextInt(ACTIVE_MILLIS)), action);
     }
 
     private void request(int entry, boolean keyed) {
@@ -107,7 +109,7 @@
         boolean keyed = !key.isEmpty();
         String body = (keyed ? key + " body-" + bodyVariant : request) + " " + size;
         String expected = FakeTarget.answer(body);
-        long deadlineMillis = 500 + random.nextInt(8_000);
+        long deadlineMillis = 500L + random.nextInt(8_000);
         history.add(new History.Asked(time.nanoTime(), request, key, expected, deadlineMillis));
         Duration readTime = Duration.ofMillis(random.nextInt(10) == 0 ? 200 : 1);
         FakeCaller caller = new FakeCaller(time, entry.node(), history, request, readTime);
@@ -133,7 +135,7 @@
     private void fault() {
         int index = random.nextInt(targets.size());
         int millis = 10 + random.nextInt(4_000);
-        int kind = random.nextInt(10);
+        int kind = random.nextInt(11);
         history.add(new History.Fault(time.nanoTime(), kind + " on " + index + " for " + millis + " ms"));
         switch (kind) {
             case 0, 9 -> network.breakOne();
@@ -144,6 +146,7 @@
             case 5 -> slow(targets.get(index), millis);
             case 6 -> outage(millis);
             case 7 -> store.faults().failNextWrite(StoreFault.LOST_REPLY);
+            case 10 -> targets.forEach(target -> target.die(Duration.ofMillis(millis)));
             default -> store.faults().failNextWrite(StoreFault.LOST_REQUEST);
         }
     }
