--- a/verification/src/test/java/io/endiveshed/verification/history/HistoryTest.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/HistoryTest.java
@@ -9,7 +9,7 @@
 /** Guards the guarantees of design.md section 1.1 against faults of links, processes, targets and the store. */
 final class HistoryTest {
     private static final long FIRST_SEED = Long.getLong("history.seed", 1);
-    private static final long SCHEDULES = Long.getLong("history.schedules", 2_500);
+    private static final long SCHEDULES = Long.getLong("history.schedules", 4_500);
     private static final int SHOWN_FAILURES = 5;
 
     @Test
