--- a/coordination/src/main/java/io/endiveshed/coordination/retry/AttemptBudget.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/retry/AttemptBudget.java
@@ -26,12 +26,19 @@
     private static final double MIN_ATTEMPTS = 1;
 
     private final double share;
+    private final double reserve;
     private final DecayedSum requests;
     private final DecayedSum attempts;
 
     /** Makes a budget of the given share of recent requests. */
     public AttemptBudget(double share, LongSupplier nanoClock) {
+        this(share, MIN_ATTEMPTS, nanoClock);
+    }
+
+    /** Makes a budget of the given share of recent requests, and of a number of attempts in addition to it. */
+    public AttemptBudget(double share, double reserve, LongSupplier nanoClock) {
         this.share = share;
+        this.reserve = reserve;
         this.requests = new DecayedSum(nanoClock, TIME_CONSTANT_NANOS);
         this.attempts = new DecayedSum(nanoClock, TIME_CONSTANT_NANOS);
     }
@@ -43,7 +50,7 @@
 
     /** Takes an extra attempt from the budget; returns false if it is used up. */
     public synchronized boolean tryTake() {
-        if (attempts.value() + 1 > share * requests.value() + MIN_ATTEMPTS) {
+        if (attempts.value() + 1 > share * requests.value() + reserve) {
             return false;
         }
         attempts.add(1);
--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -13,8 +13,10 @@
 import io.endiveshed.entry.internal.CallerApi;
 import io.endiveshed.entry.internal.Dispatcher;
 import io.endiveshed.entry.internal.DrainGate;
+import io.endiveshed.entry.internal.EngineCalls;
 import io.endiveshed.entry.internal.PlatformAgent;
 import io.endiveshed.entry.internal.SidecarLinks;
+import io.endiveshed.entry.internal.TargetLosses;
 import io.endiveshed.net.http.HttpServer;
 import io.endiveshed.net.http.MetricsPage;
 import io.endiveshed.net.link.LinkServer;
@@ -76,6 +78,7 @@
     private final InstantSource clock;
     private final TargetTable table;
     private final SidecarLinks sidecars;
+    private final TargetLosses losses;
     private final DrainGate gate;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final EventLoopGroup loops;
@@ -116,10 +119,14 @@
                 .map(address ->
                         new PlatformAgent(settings, address, incarnation, loops, blackboard, active, random, metrics));
         CallCounters counters = new CallCounters(metrics);
+        EngineCalls engines =
+                EngineCalls.create(settings.failureDomain(), settings.engineCost(), blackboard, System::nanoTime);
+        this.losses = new TargetLosses(blackboard.fleet()::read, table::state, engines::lost, engines::gone);
         this.dispatcher = new Dispatcher(
                 sidecars,
                 blackboard,
                 new LeastOutstandingSelector(sidecars::outstanding),
+                engines,
                 random,
                 loops,
                 counters,
@@ -136,6 +143,7 @@
         dispatcher.start();
         callers.start();
         every(TargetTable.TICK_INTERVAL.toMillis(), table::tick);
+        every(TargetTable.TICK_INTERVAL.toMillis(), losses::tick);
         every(TimeUnit.SECONDS.toMillis(LIST_INTERVAL_SECONDS), this::readList);
         every(HOURS_INTERVAL_MILLIS, this::followHours);
         platform.ifPresent(PlatformAgent::start);
--- a/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.cost.CostModel;
 import io.endiveshed.coordination.membership.OpeningHours;
 import io.endiveshed.coordination.membership.Place;
 import io.endiveshed.net.http.HttpServerLimits;
@@ -25,6 +26,7 @@
     private final LinkSecret linkSecret;
     private final HttpServerLimits limits;
     private final Duration stopGrace;
+    private final CostModel.Coefficients engineCost;
     private final OpeningHours openingHours;
     private final Optional<InetSocketAddress> platformAddress;
 
@@ -37,6 +39,7 @@
         this.linkSecret = Objects.requireNonNull(builder.linkSecret, "linkSecret");
         this.limits = builder.limits;
         this.stopGrace = builder.stopGrace;
+        this.engineCost = builder.engineCost;
         this.openingHours = builder.openingHours;
         this.platformAddress = Optional.ofNullable(builder.platformAddress);
     }
@@ -56,6 +59,11 @@
         return region;
     }
 
+    /** Returns the cost of requests on an engine, by which waits are predicted. */
+    public CostModel.Coefficients engineCost() {
+        return engineCost;
+    }
+
     /** Returns the failure domain of the instance. */
     public FailureDomain failureDomain() {
         return failureDomain;
@@ -111,6 +119,7 @@
         private LinkSecret linkSecret;
         private HttpServerLimits limits = HttpServerLimits.defaults();
         private Duration stopGrace = DEFAULT_STOP_GRACE;
+        private CostModel.Coefficients engineCost = CostModel.Coefficients.DEFAULT;
         private OpeningHours openingHours = OpeningHours.ALWAYS;
         private InetSocketAddress platformAddress;
 
@@ -158,6 +167,12 @@
             return this;
         }
 
+        /** Sets the cost of requests on an engine; the default is that of measurements.md. */
+        public Builder engineCost(CostModel.Coefficients value) {
+            this.engineCost = value;
+            return this;
+        }
+
         /** Sets the time that running work has to finish when the process stops. */
         public Builder stopGrace(Duration value) {
             this.stopGrace = value;
--- a/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/AttemptEvents.java
@@ -9,8 +9,8 @@
     /** An attempt on the target was started. */
     void began(TargetId target);
 
-    /** The current attempt on the target has ended for this entry. */
-    void left(TargetId target);
+    /** The current attempt on the target has ended for this entry; timed out means at its deadline without an answer. */
+    void left(Call call, TargetId target, boolean timedOut);
 
     /** The attempt may be replaced by one on another target; the failure is the answer if there is none. */
     void retry(Call call, Failure failure);
--- a/entry/src/main/java/io/endiveshed/entry/internal/Call.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Call.java
@@ -171,6 +171,7 @@
             return;
         }
         cancelAttempt();
+        leaveAttempt(!started && failure.kind() == ErrorKind.DEADLINE_EXCEEDED);
         end(failure);
     }
 
@@ -232,7 +233,7 @@
     private void attemptFailed(Failure failure) {
         mayHaveRun |= failure.outcome() != Outcome.NOT_RUN;
         if (!started && RetryRules.mayRetry(isKeyed(), tried.size(), failure) && remainingMillis() > 0) {
-            leaveAttempt();
+            leaveAttempt(false);
             events.retry(this, failure);
             return;
         }
@@ -258,17 +259,17 @@
         finish();
     }
 
-    private void leaveAttempt() {
+    private void leaveAttempt(boolean timedOut) {
         if (current != null) {
             current.stopBody();
-            events.left(current.target());
+            events.left(this, current.target(), timedOut);
             current = null;
         }
     }
 
     private void finish() {
         finished = true;
-        leaveAttempt();
+        leaveAttempt(false);
         if (timer != null) {
             timer.cancel(false);
         }
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallPlan.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallPlan.java
@@ -10,6 +10,7 @@
  *
  * @param routing what routing needs
  * @param account client account that asks
+ * @param weight share of the account relative to others, at least 1
  * @param priority 0 is the most urgent
  * @param deadlineMillis time allowed in milliseconds
  * @param method HTTP method at the target
@@ -22,6 +23,7 @@
 record CallPlan(
         RoutingRequest routing,
         ClientAccountId account,
+        int weight,
         int priority,
         long deadlineMillis,
         String method,
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -139,6 +139,7 @@
                 new CallPlan(
                         routing,
                         account.id(),
+                        account.weight(),
                         account.priority(),
                         deadlineMillis(request, model.defaultDeadline()),
                         request.method(),
@@ -165,6 +166,7 @@
                 new CallPlan(
                         new RoutingRequest(TargetKind.SERVICE, name, 0, 0),
                         account.id(),
+                        account.weight(),
                         account.priority(),
                         deadlineMillis(request, config.defaultDeadline()),
                         request.method(),
--- a/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Dispatcher.java
@@ -4,8 +4,12 @@
 import io.endiveshed.base.id.AttemptId;
 import io.endiveshed.base.id.RequestId;
 import io.endiveshed.base.id.TargetId;
+import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.blackboard.Blackboard;
 import io.endiveshed.coordination.membership.TargetView;
+import io.endiveshed.coordination.retry.AttemptBudget;
+import io.endiveshed.coordination.retry.FailedAttempt;
+import io.endiveshed.coordination.retry.RetryPolicy;
 import io.endiveshed.coordination.routing.RoutingRequest;
 import io.endiveshed.coordination.routing.TargetSelector;
 import io.endiveshed.net.http.ResponseSink;
@@ -42,6 +46,7 @@
     private final SidecarLinks sidecars;
     private final Blackboard blackboard;
     private final TargetSelector selector;
+    private final EngineCalls engines;
     /**
      * Upper half of request ids, random for each process; the lower half counts. A secure random number for each
      * request takes a lock that all event loops share.
@@ -52,16 +57,18 @@
     private final ScheduledExecutorService timers;
     private final CallCounters counters;
     private final CallLatencies latencies;
-    private final RetryTokens retries = new RetryTokens();
+    private final AttemptBudget serviceRetries;
+    private final RetryPolicy serviceRetryPolicy;
     private final Cancels cancels;
     private final Revocations revocations;
     private final Map<RequestId, Call> calls = new ConcurrentHashMap<>();
 
-    /** Makes a dispatcher. */
+    /** Makes a dispatcher; the selector is for plain services without a key. */
     public Dispatcher(
             SidecarLinks sidecars,
             Blackboard blackboard,
             TargetSelector selector,
+            EngineCalls engines,
             RandomGenerator random,
             ScheduledExecutorService timers,
             CallCounters counters,
@@ -69,6 +76,9 @@
         this.sidecars = sidecars;
         this.blackboard = blackboard;
         this.selector = selector;
+        this.engines = engines;
+        this.serviceRetries = new AttemptBudget(AttemptBudget.RETRY_SHARE, EngineCalls.RETRY_RESERVE, System::nanoTime);
+        this.serviceRetryPolicy = new RetryPolicy(serviceRetries);
         this.idPrefix = random.nextLong();
         this.timers = timers;
         this.counters = counters;
@@ -86,7 +96,6 @@
     /** Sends a request to a target, or refuses it at once. */
     void dispatch(CallPlan plan, ResponseSink response) {
         Call call = new Call(new RequestId(idPrefix, requests.incrementAndGet()), plan, response, this);
-        retries.requested();
         calls.put(call.id(), call);
         call.timer(timers.schedule(
                 () -> call.cancel(CallFailures.deadlineExceeded(plan)), plan.deadlineMillis(), TimeUnit.MILLISECONDS));
@@ -95,7 +104,14 @@
             timers.schedule(call::revokeUnanswered, revokeAt, TimeUnit.MILLISECONDS);
         }
         response.onDisconnect(() -> call.cancel(CallFailures.callerGone()));
-        attempt(call, CallFailures.noTarget(plan.routing()));
+        if (isEngineCall(call)) {
+            engines.admit(call)
+                    .peek(target -> begin(call, Optional.of(target), CallFailures.noTarget(plan.routing())))
+                    .peekLeft(call::refuse);
+        } else {
+            serviceRetries.requested();
+            begin(call, serviceTarget(call), CallFailures.noTarget(plan.routing()));
+        }
     }
 
     @Override
@@ -134,18 +150,16 @@
     }
 
     @Override
-    public void left(TargetId target) {
+    public void left(Call call, TargetId target, boolean timedOut) {
         sidecars.addOutstanding(target, -1);
+        engines.attemptEnded(call, timedOut);
     }
 
     @Override
     public void retry(Call call, Failure failure) {
-        if (!retries.take()) {
-            call.refuse(failure);
-            return;
-        }
-        counters.retry();
-        attempt(call, failure);
+        Optional<TargetId> target = isEngineCall(call) ? engines.retry(call, failure) : retryService(call, failure);
+        target.ifPresent(next -> counters.retry());
+        begin(call, target, failure);
     }
 
     @Override
@@ -182,6 +196,7 @@
 
     @Override
     public void firstByte(Call call, long queueMicros) {
+        engines.firstToken(call);
         CallLatencies.Band band = band(call);
         band.firstToken().update(call.elapsedMicros());
         band.queue().update(Math.max(0, queueMicros));
@@ -199,31 +214,53 @@
     @Override
     public void finished(Call call) {
         calls.remove(call.id());
+        engines.callEnded(call);
     }
 
-    /** Starts the next attempt on a target that was not tried; ends the call with the failure if there is none. */
-    private void attempt(Call call, Failure otherwise) {
+    /** Starts the next attempt of a call; ends the call with the failure if there is no target or it has no link. */
+    private void begin(Call call, Optional<TargetId> target, Failure otherwise) {
         CallPlan plan = call.plan();
-        RoutingRequest routing = plan.routing();
-        List<TargetView> serving = blackboard.fleet().read().serving(routing.kind(), routing.name());
-        List<TargetId> tried = call.tried();
-        List<TargetView> candidates = tried.isEmpty()
-                ? serving
-                : serving.stream()
-                        .filter(target -> !tried.contains(target.id()))
-                        .toList();
-        Optional<TargetView> chosen =
-                KeyRouting.isKeyed(plan) ? KeyRouting.select(plan, candidates) : selector.select(routing, candidates);
-        Optional<Link> link = chosen.flatMap(target -> sidecars.link(target.id(), plan.body().length));
+        Optional<Link> link = target.flatMap(id -> sidecars.link(id, plan.body().length));
         if (link.isEmpty()) {
             call.refuse(otherwise);
+            engines.callEnded(call);
             return;
         }
-        TargetId target = chosen.get().id();
-        call.begin(
-                target,
+        TargetId chosen = target.get();
+        boolean begun = call.begin(
+                chosen,
                 link.get(),
-                attempt -> dispatchMessage(plan, attempt, target, Math.max(1, call.remainingMillis())));
+                attempt -> dispatchMessage(plan, attempt, chosen, Math.max(1, call.remainingMillis())));
+        if (!begun) {
+            // The call ended after its work was counted.
+            engines.callEnded(call);
+        }
+    }
+
+    private Optional<TargetId> retryService(Call call, Failure failure) {
+        AttemptId failed = new AttemptId(call.id(), call.tried().size());
+        long remaining = TimeUnit.MILLISECONDS.toNanos(call.remainingMillis());
+        boolean repeatable = !KeyRouting.isKeyed(call.plan());
+        // The time that a plain service needs is not known.
+        FailedAttempt attempt = new FailedAttempt(failed, failure, repeatable, false, remaining, 0);
+        return serviceTarget(call).filter(target -> serviceRetryPolicy.shouldRetry(attempt));
+    }
+
+    /** Chooses a target that the call has not tried. */
+    private Optional<TargetId> serviceTarget(Call call) {
+        CallPlan plan = call.plan();
+        RoutingRequest routing = plan.routing();
+        List<TargetId> tried = call.tried();
+        List<TargetView> candidates = blackboard.fleet().read().serving(routing.kind(), routing.name()).stream()
+                .filter(target -> !tried.contains(target.id()))
+                .toList();
+        Optional<TargetView> chosen =
+                KeyRouting.isKeyed(plan) ? KeyRouting.select(plan, candidates) : selector.select(routing, candidates);
+        return chosen.map(TargetView::id);
+    }
+
+    private static boolean isEngineCall(Call call) {
+        return call.plan().routing().kind() == TargetKind.ENGINE;
     }
 
     private static AttemptId attemptOf(Message message) {
--- a/local/src/main/java/io/endiveshed/local/LocalDeployment.java
+++ b/local/src/main/java/io/endiveshed/local/LocalDeployment.java
@@ -86,6 +86,7 @@
                         .failureDomain(new FailureDomain("local-a"))
                         .callerAddress(loopback(port))
                         .linkAddress(loopback(0))
+                        .engineCost(EngineStandIn.COST)
                         .linkSecret(SECRET)
                         .build(),
                 blackboard);
--- a/local/src/test/java/io/endiveshed/local/RelayFleet.java
+++ b/local/src/test/java/io/endiveshed/local/RelayFleet.java
@@ -66,6 +66,7 @@
                         .failureDomain(new FailureDomain("a"))
                         .callerAddress(loopback(0))
                         .linkAddress(loopback(0))
+                        .engineCost(EngineStandIn.COST)
                         .linkSecret(SECRET)
                         .stopGrace(Duration.ZERO)
                         .build(),
--- a/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import io.endiveshed.coordination.cost.CostModel;
 import io.endiveshed.net.http.HttpRequestData;
 import io.endiveshed.net.http.HttpServer;
 import io.endiveshed.net.http.HttpServerLimits;
@@ -30,6 +31,9 @@
  * <p>The answer is the first 16 hexadecimal digits of the SHA-256 hash of the prompt text, followed by numbered words.
  */
 public final class EngineStandIn {
+    /** Upper bound of the time that a stand-in without delay needs, for predictions; a real engine needs far longer. */
+    public static final CostModel.Coefficients COST = new CostModel.Coefficients(40, 0, 500);
+
     private static final String REQUESTS = "/v1/requests";
     private static final long KV_CAPACITY_TOKENS = 4_000_000;
     private static final int CHARACTERS_PER_TOKEN = 4;
