--- a/verification/src/test/java/io/endiveshed/verification/history/EntryNode.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/EntryNode.java
@@ -15,9 +15,12 @@
 import io.endiveshed.entry.internal.CallLatencies;
 import io.endiveshed.entry.internal.CallPlan;
 import io.endiveshed.entry.internal.Dispatcher;
+import io.endiveshed.entry.internal.EngineCalls;
 import io.endiveshed.entry.internal.SidecarLinks;
+import io.endiveshed.entry.internal.TargetLosses;
 import io.endiveshed.net.link.LinkListener;
 import io.endiveshed.net.link.LinkSecret;
+import io.endiveshed.standins.EngineStandIn;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -52,10 +55,14 @@
         SidecarLinks sidecars = new SidecarLinks(settings, Incarnation.random(random), random, blackboard, table, time);
         ActiveConfiguration active = new ActiveConfiguration(blackboard.configuration(), metrics);
         sidecars.configuration(new ConfigurationExchange(node.scheduler(), active, metrics));
+        EngineCalls engines =
+                EngineCalls.create(settings.failureDomain(), EngineStandIn.COST, blackboard, time::nanoTime, random);
+        TargetLosses losses = new TargetLosses(blackboard.fleet()::read, table::state, engines::lost, engines::gone);
         this.dispatcher = new Dispatcher(
                 sidecars,
                 blackboard,
                 new LeastOutstandingSelector(sidecars::outstanding),
+                engines,
                 random,
                 timers,
                 time,
@@ -65,6 +72,7 @@
         dispatcher.start();
         long tick = TargetTable.TICK_INTERVAL.toMillis();
         timers.scheduleAtFixedRate(table::tick, tick, tick, TimeUnit.MILLISECONDS);
+        timers.scheduleAtFixedRate(losses::tick, tick, tick, TimeUnit.MILLISECONDS);
         this.listener = node.guard(sidecars);
     }
 
