--- /dev/null
+++ b/bench/src/main/java/io/endiveshed/bench/soak/SoakCall.java
@@ -0,0 +1,239 @@
+package io.endiveshed.bench.soak;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.HttpExchange;
+import io.endiveshed.net.http.HttpResponseListener;
+import io.endiveshed.protocol.Header;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/** One call as its caller sees it. */
+final class SoakCall implements HttpResponseListener {
+    /**
+     * What is called.
+     *
+     * @param number number of the call, unique in the soak
+     * @param kind word for the report
+     * @param path path at the entry
+     * @param contentType content type
+     * @param key idempotency key, empty if there is none
+     * @param body body
+     * @param expected whole answer of an engine, empty for a booking
+     * @param streams whether the answer is a stream of events
+     */
+    record Plan(
+            long number,
+            String kind,
+            String path,
+            String contentType,
+            String key,
+            byte[] body,
+            String expected,
+            boolean streams) {}
+
+    private static final String DONE = "data: [DONE]";
+    private static final String EVENT = "data: ";
+    private static final int OK = 200;
+
+    private final SoakProcess entry;
+    private final Plan plan;
+    private final Duration deadline;
+    private final Consumer<SoakCall> whenEnded;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final long startNanos = System.nanoTime();
+    private final long pausedBefore;
+    private volatile HttpExchange exchange;
+    private volatile int status;
+    private volatile CallResult result;
+    private volatile String violation = "";
+    private volatile long durationNanos;
+
+    SoakCall(SoakProcess entry, Plan plan, Duration deadline, Consumer<SoakCall> whenEnded) {
+        this.entry = entry;
+        this.pausedBefore = entry.pausedNanos();
+        this.plan = plan;
+        this.deadline = deadline;
+        this.whenEnded = whenEnded;
+    }
+
+    void send(HttpClient client, String bearerKey) {
+        List<Header> headers = new ArrayList<>(List.of(
+                new Header("Authorization", "Bearer " + bearerKey),
+                new Header("content-type", plan.contentType()),
+                new Header("X-Request-Deadline-Ms", Long.toString(deadline.toMillis()))));
+        if (!plan.key().isEmpty()) {
+            headers.add(new Header("Idempotency-Key", plan.key()));
+        }
+        exchange = client.send("POST", plan.path(), headers, plan.body(), this);
+    }
+
+    /** Disconnects as an impatient caller does. */
+    void disconnect() {
+        end(CallResult.DISCONNECTED);
+        HttpExchange current = exchange;
+        if (current != null) {
+            current.cancel();
+        }
+    }
+
+    /** Ends the call as late if its deadline and the tolerance have passed; pauses of its entry do not count. */
+    void checkLate(Duration tolerance) {
+        long paused = entry.pausedNanos() - pausedBefore;
+        long limit = deadline.plus(tolerance).toNanos() + paused;
+        if (System.nanoTime() - startNanos > limit) {
+            if (end(CallResult.LATE)) {
+                violation = "no end within the deadline of " + deadline + " and " + tolerance;
+            }
+            disconnect();
+        }
+    }
+
+    long number() {
+        return plan.number();
+    }
+
+    Plan plan() {
+        return plan;
+    }
+
+    CallResult result() {
+        return result;
+    }
+
+    boolean isEnded() {
+        return ended.get();
+    }
+
+    String violation() {
+        return violation;
+    }
+
+    /** Returns the body received, up to the end of the call. */
+    synchronized String text() {
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void started(int newStatus, List<Header> headers) {
+        status = newStatus;
+    }
+
+    @Override
+    public synchronized void received(byte[] bytes) {
+        if (!ended.get()) {
+            body.write(bytes, 0, bytes.length);
+        }
+    }
+
+    @Override
+    public void ended() {
+        if (status != OK) {
+            end(outcome(text()));
+        } else if (!plan.key().isEmpty()) {
+            check(text().startsWith(plan.key() + " "), "answer of another key");
+            end(CallResult.ANSWERED);
+        } else {
+            completeAnswer();
+        }
+    }
+
+    @Override
+    public void failed(boolean sent, String message) {
+        if (status == OK && plan.streams()) {
+            check(plan.expected().startsWith(words(text())), "broken answer is not a prefix of the caller's own");
+            String error = lastError(text());
+            end(error.isEmpty() ? CallResult.BROKEN : outcome(error));
+        } else {
+            end(CallResult.BROKEN);
+        }
+    }
+
+    private void completeAnswer() {
+        String received = text();
+        if (plan.streams()) {
+            check(received.contains(DONE), "complete stream without [DONE]");
+            check(words(received).equals(plan.expected()), "stream is not the caller's own whole answer");
+        } else {
+            String answer = choice(JsonParser.parseString(received).getAsJsonObject());
+            check(answer.equals(plan.expected()), "answer is not the caller's own whole answer");
+        }
+        end(CallResult.ANSWERED);
+    }
+
+    private void check(boolean holds, String otherwise) {
+        if (!holds && !ended.get()) {
+            violation = otherwise;
+        }
+    }
+
+    private boolean end(CallResult value) {
+        if (!ended.compareAndSet(false, true)) {
+            return false;
+        }
+        durationNanos = System.nanoTime() - startNanos;
+        result = value;
+        whenEnded.accept(this);
+        return true;
+    }
+
+    private static CallResult outcome(String error) {
+        String outcome = JsonParser.parseString(error)
+                .getAsJsonObject()
+                .getAsJsonObject("error")
+                .get("outcome")
+                .getAsString();
+        return switch (outcome) {
+            case "not_run" -> CallResult.NOT_RUN;
+            case "completed" -> CallResult.COMPLETED;
+            default -> CallResult.UNKNOWN;
+        };
+    }
+
+    private static String choice(JsonObject answer) {
+        return answer.getAsJsonArray("choices")
+                .get(0)
+                .getAsJsonObject()
+                .get("text")
+                .getAsString();
+    }
+
+    /** Joins the text of the whole events; an event that is cut off is left out. */
+    private static String words(String stream) {
+        StringBuilder words = new StringBuilder();
+        wholeEvents(stream).filter(event -> event.has("choices")).forEach(event -> words.append(choice(event)));
+        return words.toString();
+    }
+
+    private static String lastError(String stream) {
+        return wholeEvents(stream)
+                .filter(event -> event.has("error"))
+                .map(JsonObject::toString)
+                .reduce("", (first, second) -> second);
+    }
+
+    private static Stream<JsonObject> wholeEvents(String stream) {
+        int end = stream.lastIndexOf("\n\n");
+        return stream.substring(0, Math.max(0, end))
+                .lines()
+                .filter(line -> line.startsWith(EVENT) && !line.equals(DONE))
+                .map(line ->
+                        JsonParser.parseString(line.substring(EVENT.length())).getAsJsonObject());
+    }
+
+    @Override
+    public String toString() {
+        return "call " + plan.number() + " (" + plan.kind() + (plan.key().isEmpty() ? "" : ", key " + plan.key())
+                + ") through "
+                + entry.name() + ": " + result + ", status " + status + " after " + durationNanos / 1_000_000 + " ms"
+                + (status == OK ? "" : ", " + text().strip());
+    }
+}
--- a/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 /**
  * Model engine whose answer is derived from the prompt, so that an answer to another request shows.
@@ -44,6 +45,7 @@
     private final AtomicLong unnamed = new AtomicLong();
     private final AtomicLong produced = new AtomicLong();
     private volatile boolean ignoringDisconnects;
+    private volatile Consumer<String> promptListener = prompt -> {};
 
     /** Makes an engine that takes the given time for each generated token. */
     public EngineStandIn(EventLoopGroup loops, InetSocketAddress address, Duration timePerToken) {
@@ -79,6 +81,11 @@
         ignoringDisconnects = true;
     }
 
+    /** Sets a listener that hears of each prompt before its generation begins; it runs on an event loop. */
+    public void onPrompt(Consumer<String> listener) {
+        promptListener = listener;
+    }
+
     /** Breaks every running answer off, as a crash does. */
     public void breakAnswers() {
         running.values().forEach(Generation::stop);
@@ -149,6 +156,7 @@
         JsonObject body = JsonParser.parseString(new String(request.body(), StandardCharsets.UTF_8))
                 .getAsJsonObject();
         String prompt = prompt(body);
+        promptListener.accept(prompt);
         int tokens = body.has("max_tokens") ? body.get("max_tokens").getAsInt() : 16;
         boolean stream = body.has("stream") && body.get("stream").getAsBoolean();
         String named = request.headers().get("x-request-id");
