Read the platform's list of instances in entries

Cause: EntryDaemon made from a settings file used an empty list, so a target that the platform stops was known as leaving only once it said so itself.

Conclusion: entries follow the list.

--- a/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntryDaemon.java
@@ -71,6 +71,8 @@
     /** Time to write the last answers after the grace period. */
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
+    private static final InstanceList NO_INSTANCES = () -> CompletableFuture.completedFuture(Either.right(List.of()));
+
     private final EntrySettings settings;
     private final InstanceList list;
     private final InstantSource clock;
@@ -86,13 +88,9 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Optional<PlatformAgent> platform;
 
-    /** Makes a daemon without the platform's list of instances. */
+    /** Makes a daemon that reads the list of instances from the platform that its settings name, if any. */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard) {
-        this(
-                settings,
-                blackboard,
-                () -> CompletableFuture.completedFuture(Either.right(List.of())),
-                InstantSource.system());
+        this(settings, blackboard, Optional.empty(), InstantSource.system());
     }
 
     /**
@@ -100,8 +98,12 @@
      * about opening hours.
      */
     public EntryDaemon(EntrySettings settings, Blackboard blackboard, InstanceList list, InstantSource clock) {
+        this(settings, blackboard, Optional.of(list), clock);
+    }
+
+    private EntryDaemon(
+            EntrySettings settings, Blackboard blackboard, Optional<InstanceList> given, InstantSource clock) {
         this.settings = settings;
-        this.list = list;
         this.clock = clock;
         SecureRandom random = new SecureRandom();
         this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
@@ -115,6 +117,7 @@
         this.platform = settings.platformAddress()
                 .map(address ->
                         new PlatformAgent(settings, address, incarnation, loops, blackboard, active, random, metrics));
+        this.list = given.or(() -> platform.map(PlatformAgent::instances)).orElse(NO_INSTANCES);
         CallCounters counters = new CallCounters(metrics);
         this.dispatcher = new Dispatcher(
                 sidecars,
--- a/entry/src/main/java/io/endiveshed/entry/internal/PlatformAgent.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/PlatformAgent.java
@@ -13,6 +13,7 @@
 import io.endiveshed.net.platform.HttpPlatform;
 import io.endiveshed.net.platform.StoreBudget;
 import io.endiveshed.net.platform.StoreUse;
+import io.endiveshed.ports.platform.InstanceList;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -28,6 +29,7 @@
     private final HttpPlatform platform;
     private final ConfigurationController controller;
     private final StatusReporter reporter;
+    private final InstanceList instances;
 
     /** Makes an agent that calls the platform once started. */
     public PlatformAgent(
@@ -48,9 +50,15 @@
                 new StoreBudget(scheduler, random, metrics, StoreBudget.DEFAULT_RATE, StoreBudget.DEFAULT_BURST);
         this.controller = new ConfigurationController(
                 scheduler, budget.store(platform, StoreUse.CONFIGURATION), active, random, metrics);
+        this.instances = budget.instances(platform);
         this.reporter = new StatusReporter(scheduler, budget.store(platform, StoreUse.STATUS), random, this::status);
     }
 
+    /** Returns the platform's list of instances, which takes its calls from the same budget. */
+    public InstanceList instances() {
+        return instances;
+    }
+
     /** Starts to follow the configuration and to report. */
     public void start() {
         controller.start();
--- a/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
+++ b/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
@@ -11,9 +11,11 @@
 import io.endiveshed.cli.internal.ApplyCommand;
 import io.endiveshed.cli.internal.StatusCommand;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.entry.EntryDaemon;
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.net.link.LinkSecret;
+import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.sidecar.SidecarDaemon;
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.BookingStandIn;
@@ -89,6 +91,32 @@
         restarted.stop();
     }
 
+    /** Without the list an entry learns that the platform stops a target only when the target itself says so. */
+    @Test
+    void aTargetThatThePlatformListsAsLeavingGetsNoNewWork() {
+        Blackboard blackboard = new Blackboard();
+        EntryDaemon entry = entry(blackboard, 0);
+        entry.start();
+        SidecarDaemon sidecar = sidecar(entry.linkPort());
+        sidecar.start();
+        await(() -> hasTargetIn(blackboard, TargetState.LIVE));
+        platform.instances(List.of(new ListedInstance(
+                new InstanceId("depot-1"),
+                ListedInstance.Role.TARGET,
+                new Region("north"),
+                new FailureDomain("north-a"),
+                "127.0.0.1",
+                0,
+                true)));
+        await(() -> hasTargetIn(blackboard, TargetState.LEAVING));
+        sidecar.stop();
+        entry.stop();
+    }
+
+    private static boolean hasTargetIn(Blackboard blackboard, TargetState state) {
+        return blackboard.fleet().read().targets().stream().anyMatch(target -> target.state() == state);
+    }
+
     private EntryDaemon entry(Blackboard blackboard, int linkPort) {
         return new EntryDaemon(
                 EntrySettings.builder()
