--- a/bench/src/main/java/io/endiveshed/bench/soak/Soak.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/Soak.java
@@ -138,6 +138,7 @@
             injector.counts().forEach((kind, count) -> faults.merge(kind, count, Integer::sum));
         }
         out.println("calls by kind and result: " + checks.counts());
+        out.println("errors by kind and code: " + checks.errors());
         out.println("executions: " + executions.size() + ", of keys: "
                 + executions.byKey().size());
         out.println("faults: " + faults);
--- a/bench/src/main/java/io/endiveshed/bench/soak/SoakCall.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/SoakCall.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** One call as its caller sees it. */
@@ -41,6 +43,7 @@
 
     private static final String DONE = "data: [DONE]";
     private static final String EVENT = "data: ";
+    private static final Pattern ERROR_CODE = Pattern.compile("\"error\":\\{\"code\":\"(\\w+)\"");
     private static final int OK = 200;
 
     private final SoakProcess entry;
@@ -185,6 +188,12 @@
         return true;
     }
 
+    /** Returns the code of the error that the caller got; empty if there was none. */
+    String errorCode() {
+        Matcher matcher = ERROR_CODE.matcher(text());
+        return result != CallResult.ANSWERED && matcher.find() ? matcher.group(1) : "";
+    }
+
     private static CallResult outcome(String error) {
         String outcome = JsonParser.parseString(error)
                 .getAsJsonObject()
--- a/bench/src/main/java/io/endiveshed/bench/soak/SoakChecks.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/SoakChecks.java
@@ -51,6 +51,14 @@
                         call -> call.plan().kind() + " " + call.result(), TreeMap::new, Collectors.counting()));
     }
 
+    /** Returns the number of errors by kind of call and code; a broken connection has none. */
+    Map<String, Long> errors() {
+        return calls.stream()
+                .filter(call -> !call.errorCode().isEmpty())
+                .collect(Collectors.groupingBy(
+                        call -> call.plan().kind() + " " + call.errorCode(), TreeMap::new, Collectors.counting()));
+    }
+
     private boolean wasExecuted(SoakCall call) {
         String key = call.plan().key();
         return key.isEmpty()
