Answer 503 instead of 401 while an entry has no configuration

Cause: a restarted entry knows no account until it has read the configuration from the store or a sidecar, and answered valid keys with 401, which callers take as final.

Conclusion: callers and load balancers repeat the call elsewhere.

--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -35,6 +35,9 @@
     /** Bodies up to this many bytes are parsed on the event loop; longer ones would delay other callers there. */
     private static final int MAX_INLINE_PARSE_BYTES = 64 * 1024;
 
+    /** A restarted entry reads the configuration from the store or a sidecar within about a second. */
+    private static final Duration NO_CONFIGURATION_RETRY = Duration.ofSeconds(1);
+
     private static final String DEADLINE_HEADER = "X-Request-Deadline-Ms";
     private static final String KEY_HEADER = "Idempotency-Key";
     private static final String SERVICES = "/services/";
@@ -105,9 +108,7 @@
     }
 
     private void ready(ResponseSink response) {
-        if (blackboard.configuration().read() == Configuration.NONE) {
-            throw failure(ErrorKind.NO_TARGET, "no configuration yet");
-        }
+        requireConfiguration();
         text(response, "ready\n");
     }
 
@@ -176,7 +177,18 @@
                 response);
     }
 
+    /** Without a configuration no account is known, so a valid key must not be called invalid. */
+    private void requireConfiguration() {
+        if (blackboard.configuration().read() == Configuration.NONE) {
+            throw new FailureException(Failure.of(ErrorKind.NO_TARGET)
+                    .message("no configuration yet")
+                    .retryAfter(NO_CONFIGURATION_RETRY)
+                    .build());
+        }
+    }
+
     private AccountConfig authenticate(HttpRequestData request) {
+        requireConfiguration();
         return BearerKeys.account(
                 blackboard.configuration().read(), request.headers().get("Authorization"));
     }
--- a/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
+++ b/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
@@ -28,6 +28,10 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -91,6 +95,22 @@
         restarted.stop();
     }
 
+    /** Guards against a final 401 for a valid key while a restarted entry has not read the accounts yet. */
+    @Test
+    void anEntryWithoutConfigurationAsksCallersToReturnLater() throws Exception {
+        store.faults().outage(true);
+        EntryDaemon entry = entry(new Blackboard(), 0);
+        entry.start();
+        HttpRequest models = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.callerPort() + "/v1/models"))
+                .header("Authorization", "Bearer any-key")
+                .build();
+        HttpResponse<String> response = HttpClient.newHttpClient().send(models, HttpResponse.BodyHandlers.ofString());
+        entry.stop();
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(response.headers().firstValue("Retry-After").orElse("")).isEqualTo("1");
+        assertThat(response.body()).contains("\"outcome\":\"not_run\"");
+    }
+
     /** Without the list an entry learns that the platform stops a target only when the target itself says so. */
     @Test
     void aTargetThatThePlatformListsAsLeavingGetsNoNewWork() {
