--- a/bench/src/main/java/io/endiveshed/bench/soak/Soak.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/Soak.java
@@ -139,6 +139,7 @@
         }
         out.println("calls by kind and result: " + checks.counts());
         out.println("errors by kind and code: " + checks.errors());
+        out.println("bookings not run, by message: " + checks.refusedBookings());
         out.println("executions: " + executions.size() + ", of keys: "
                 + executions.byKey().size());
         out.println("faults: " + faults);
--- a/bench/src/main/java/io/endiveshed/bench/soak/SoakCall.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/SoakCall.java
@@ -43,7 +43,8 @@
 
     private static final String DONE = "data: [DONE]";
     private static final String EVENT = "data: ";
-    private static final Pattern ERROR_CODE = Pattern.compile("\"error\":\\{\"code\":\"(\\w+)\"");
+    private static final Pattern ERROR_CODE =
+            Pattern.compile("\"error\":\\{\"code\":\"(\\w+)\",\"message\":\"([^\"]*)\"");
     private static final int OK = 200;
 
     private final SoakProcess entry;
@@ -194,6 +195,14 @@
         return result != CallResult.ANSWERED && matcher.find() ? matcher.group(1) : "";
     }
 
+    /** Returns the message of the error with numbers left out, so that messages of one cause are equal. */
+    String errorMessage() {
+        Matcher matcher = ERROR_CODE.matcher(text());
+        return result != CallResult.ANSWERED && matcher.find()
+                ? matcher.group(2).replaceAll("[0-9]+", "#")
+                : "";
+    }
+
     private static CallResult outcome(String error) {
         String outcome = JsonParser.parseString(error)
                 .getAsJsonObject()
--- a/bench/src/main/java/io/endiveshed/bench/soak/SoakChecks.java
+++ b/bench/src/main/java/io/endiveshed/bench/soak/SoakChecks.java
@@ -59,6 +59,14 @@
                         call -> call.plan().kind() + " " + call.errorCode(), TreeMap::new, Collectors.counting()));
     }
 
+    /** Returns the number of {@code not_run} bookings by message. */
+    Map<String, Long> refusedBookings() {
+        return calls.stream()
+                .filter(call -> call.result() == CallResult.NOT_RUN)
+                .filter(call -> !call.plan().key().isEmpty())
+                .collect(Collectors.groupingBy(SoakCall::errorMessage, TreeMap::new, Collectors.counting()));
+    }
+
     private boolean wasExecuted(SoakCall call) {
         String key = call.plan().key();
         return key.isEmpty()
