--- a/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
+++ b/local/src/test/java/io/endiveshed/local/PlatformDeploymentTest.java
@@ -11,9 +11,11 @@
 import io.endiveshed.cli.internal.ApplyCommand;
 import io.endiveshed.cli.internal.StatusCommand;
 import io.endiveshed.coordination.blackboard.Blackboard;
+import io.endiveshed.coordination.membership.TargetState;
 import io.endiveshed.entry.EntryDaemon;
 import io.endiveshed.entry.EntrySettings;
 import io.endiveshed.net.link.LinkSecret;
+import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.sidecar.SidecarDaemon;
 import io.endiveshed.sidecar.SidecarSettings;
 import io.endiveshed.standins.BookingStandIn;
@@ -26,6 +28,10 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -89,6 +95,48 @@
         restarted.stop();
     }
 
+    /** Guards against a final 401 for a valid key while a restarted entry has not read the accounts yet. */
+    @Test
+    void anEntryWithoutConfigurationAsksCallersToReturnLater() throws Exception {
+        store.faults().outage(true);
+        EntryDaemon entry = entry(new Blackboard(), 0);
+        entry.start();
+        HttpRequest models = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.callerPort() + "/v1/models"))
+                .header("Authorization", "Bearer any-key")
+                .build();
+        HttpResponse<String> response = HttpClient.newHttpClient().send(models, HttpResponse.BodyHandlers.ofString());
+        entry.stop();
+        assertThat(response.statusCode()).isEqualTo(503);
+        assertThat(response.headers().firstValue("Retry-After").orElse("")).isEqualTo("1");
+        assertThat(response.body()).contains("\"outcome\":\"not_run\"");
+    }
+
+    /** Without the list an entry learns that the platform stops a target only when the target itself says so. */
+    @Test
+    void aTargetThatThePlatformListsAsLeavingGetsNoNewWork() {
+        Blackboard blackboard = new Blackboard();
+        EntryDaemon entry = entry(blackboard, 0);
+        entry.start();
+        SidecarDaemon sidecar = sidecar(entry.linkPort());
+        sidecar.start();
+        await(() -> hasTargetIn(blackboard, TargetState.LIVE));
+        platform.instances(List.of(new ListedInstance(
+                new InstanceId("depot-1"),
+                ListedInstance.Role.TARGET,
+                new Region("north"),
+                new FailureDomain("north-a"),
+                "127.0.0.1",
+                0,
+                true)));
+        await(() -> hasTargetIn(blackboard, TargetState.LEAVING));
+        sidecar.stop();
+        entry.stop();
+    }
+
+    private static boolean hasTargetIn(Blackboard blackboard, TargetState state) {
+        return blackboard.fleet().read().targets().stream().anyMatch(target -> target.state() == state);
+    }
+
     private EntryDaemon entry(Blackboard blackboard, int linkPort) {
         return new EntryDaemon(
                 EntrySettings.builder()
