Read opening hours and stop grace from settings, publish sidecar metrics

Before: no YAML key for either, two OpeningHours, one reader in cli. The stored form of hours is a list of windows now. The rest of the test classes has not been run with this commit.

--- a/base/src/main/java/io/endiveshed/base/process/StopSignal.java
+++ b/base/src/main/java/io/endiveshed/base/process/StopSignal.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
 /**
  * Waits for SIGTERM or SIGINT, so that a process can stop cleanly and exit with code 0. A second signal ends the process
@@ -21,6 +22,8 @@
     /** Exit code of a process that a second signal ended before it had stopped. */
     public static final int FORCED_EXIT_CODE = 130;
 
+    private static final Duration STOPPED_POLL = Duration.ofMillis(200);
+
     private static final String[] SIGNALS = {"TERM", "INT"};
 
     private final CountDownLatch received = new CountDownLatch(1);
@@ -47,6 +50,13 @@
         return received.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    /** Waits for the first signal, or until the process has stopped by itself, for example at closing time. */
+    public void awaitUnless(BooleanSupplier stopped) throws InterruptedException {
+        while (!await(STOPPED_POLL) && !stopped.getAsBoolean()) {
+            // The condition has no event to wait for.
+        }
+    }
+
     private void onSignal() {
         if (stopping.getAndSet(true)) {
             Runtime.getRuntime().halt(FORCED_EXIT_CODE);
--- a/coordination/src/main/java/io/endiveshed/coordination/membership/OpeningHours.java
+++ b/base/src/main/java/io/endiveshed/base/time/OpeningHours.java
@@ -1,4 +1,4 @@
-package io.endiveshed.coordination.membership;
+package io.endiveshed.base.time;
 
 import java.time.DayOfWeek;
 import java.time.Instant;
@@ -53,6 +53,11 @@
         }
     }
 
+    /** Makes hours of one window. */
+    public static OpeningHours of(ZoneId zone, Set<DayOfWeek> days, LocalTime open, LocalTime close) {
+        return new OpeningHours(zone, List.of(new Window(days, open, close)));
+    }
+
     /** Tells whether the place is open. */
     public boolean isOpen(Instant time) {
         LocalDate today = time.atZone(zone).toLocalDate();
--- a/coordination/src/test/java/io/endiveshed/coordination/membership/OpeningHoursTest.java
+++ b/base/src/test/java/io/endiveshed/base/time/OpeningHoursTest.java
@@ -1,4 +1,4 @@
-package io.endiveshed.coordination.membership;
+package io.endiveshed.base.time;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationJson.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/config/ConfigurationJson.java
@@ -8,6 +8,7 @@
 import io.endiveshed.base.id.ModelName;
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.time.OpeningHours;
 import java.time.DayOfWeek;
 import java.time.Duration;
 import java.time.LocalTime;
@@ -116,27 +117,35 @@
         tree.addProperty("region", offering.region().value());
         tree.addProperty("failureDomain", offering.failureDomain().value());
         tree.addProperty("zone", offering.hours().zone().getId());
-        tree.add(
-                "days",
-                texts(offering.hours().days().stream()
-                        .sorted()
-                        .map(DayOfWeek::name)
-                        .toList()));
-        tree.addProperty("opens", offering.hours().opens().toString());
-        tree.addProperty("closes", offering.hours().closes().toString());
+        tree.add("windows", array(offering.hours().windows(), ConfigurationJson::window));
         return tree;
     }
 
     private static Offering readOffering(JsonObject tree) {
-        Set<DayOfWeek> days = new LinkedHashSet<>();
-        readTexts(tree, "days").forEach(day -> days.add(DayOfWeek.valueOf(day)));
         return new Offering(
                 new Region(tree.get("region").getAsString()),
                 new FailureDomain(tree.get("failureDomain").getAsString()),
                 new OpeningHours(
                         ZoneId.of(tree.get("zone").getAsString()),
-                        days,
-                        LocalTime.parse(tree.get("opens").getAsString()),
-                        LocalTime.parse(tree.get("closes").getAsString())));
+                        readArray(tree, "windows", ConfigurationJson::readWindow)));
+    }
+
+    private static JsonObject window(OpeningHours.Window window) {
+        JsonObject tree = new JsonObject();
+        tree.add(
+                "days",
+                texts(window.days().stream().sorted().map(DayOfWeek::name).toList()));
+        tree.addProperty("opens", window.open().toString());
+        tree.addProperty("closes", window.close().toString());
+        return tree;
+    }
+
+    private static OpeningHours.Window readWindow(JsonObject tree) {
+        Set<DayOfWeek> days = new LinkedHashSet<>();
+        readTexts(tree, "days").forEach(day -> days.add(DayOfWeek.valueOf(day)));
+        return new OpeningHours.Window(
+                days,
+                LocalTime.parse(tree.get("opens").getAsString()),
+                LocalTime.parse(tree.get("closes").getAsString()));
     }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/config/Offering.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/config/Offering.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.base.time.OpeningHours;
 import java.util.Objects;
 
 /**
--- a/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettings.java
@@ -3,7 +3,7 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
-import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.base.time.OpeningHours;
 import io.endiveshed.coordination.membership.Place;
 import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.net.link.LinkSecret;
--- a/entry/src/main/java/io/endiveshed/entry/EntrySettingsFile.java
+++ b/entry/src/main/java/io/endiveshed/entry/EntrySettingsFile.java
@@ -55,6 +55,8 @@
                 .callerAddress(callers.orElseThrow())
                 .linkAddress(links.orElseThrow())
                 .limits(limits)
+                .stopGrace(process.stopGrace().orElse(EntrySettings.DEFAULT_STOP_GRACE))
+                .openingHours(process.openingHours().orElseThrow())
                 .build());
     }
 
--- a/local/src/test/java/io/endiveshed/local/DrainTest.java
+++ b/local/src/test/java/io/endiveshed/local/DrainTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.base.time.OpeningHours;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
--- a/local/src/test/java/io/endiveshed/local/RollingRestartTest.java
+++ b/local/src/test/java/io/endiveshed/local/RollingRestartTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.base.time.OpeningHours;
 import io.endiveshed.standins.EngineStandIn;
 import java.io.IOException;
 import java.net.ConnectException;
--- a/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
+++ b/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
@@ -3,10 +3,12 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.base.time.OpeningHours;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -19,23 +21,36 @@
  * @param failureDomain failure domain of the instance
  * @param platform address of the platform's object API
  * @param linkSecret secret that entries and sidecars share
+ * @param stopGrace time that running work has to finish when the process stops; empty for the default
+ * @param openingHours when the process serves
  */
 public record ProcessSettings(
         Optional<InstanceId> instance,
         Optional<Region> region,
         Optional<FailureDomain> failureDomain,
         Optional<InetSocketAddress> platform,
-        Optional<String> linkSecret) {
+        Optional<String> linkSecret,
+        Optional<Duration> stopGrace,
+        Optional<OpeningHours> openingHours) {
     private static final int MIN_SECRET_LENGTH = 8;
+    private static final Duration MIN_STOP_GRACE = Duration.ofSeconds(1);
 
-    /** Reads the keys {@code instance, region, failure-domain, platform, link-secret, link-secret-file}. */
+    /** A longer grace period than this is taken for a typing error, because it holds up a replacement. */
+    private static final Duration MAX_STOP_GRACE = Duration.ofHours(1);
+
+    /**
+     * Reads the keys {@code instance, region, failure-domain, platform, link-secret, link-secret-file, stop-grace} and
+     * {@code hours}.
+     */
     public static ProcessSettings read(Section root) {
         return new ProcessSettings(
                 root.value("instance", root.required("instance", "instance-1"), InstanceId::new),
                 root.value("region", root.required("region", "north"), Region::new),
                 root.value("failure-domain", root.required("failure-domain", "north-a"), FailureDomain::new),
                 address(root, "platform", root.text("platform")),
-                secret(root));
+                secret(root),
+                root.time("stop-grace", MIN_STOP_GRACE, MAX_STOP_GRACE),
+                OpeningHoursSection.read(root));
     }
 
     /** Reads {@code IP:port}; names are refused, because a process must not depend on a name service. */
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -24,6 +24,7 @@
 import io.endiveshed.sidecar.internal.EntryLinks;
 import io.endiveshed.sidecar.internal.KeyedCalls;
 import io.endiveshed.sidecar.internal.LinkContext;
+import io.endiveshed.sidecar.internal.SidecarMetrics;
 import io.endiveshed.sidecar.internal.SidecarPlatform;
 import io.endiveshed.sidecar.internal.TargetCalls;
 import io.netty.channel.EventLoopGroup;
@@ -35,6 +36,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -77,6 +79,7 @@
     private final HttpClient target;
     private final TargetCalls calls;
     private final EntryLinks entries;
+    private final Optional<SidecarMetrics> metricsServer;
     private final AtomicBoolean linked = new AtomicBoolean();
     private final AtomicBoolean stopping = new AtomicBoolean();
 
@@ -123,7 +126,7 @@
         this.target = new HttpClient(loops, settings.targetAddress());
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
-        this.calls = new TargetCalls(settings, incarnation, target, keyedCalls(store, random, incarnation));
+        this.calls = new TargetCalls(settings, incarnation, target, keyedCalls(store, random, incarnation, metrics));
         ActiveConfiguration active = new ActiveConfiguration(new Cell<>(Configuration.NONE), metrics);
         ConfigurationExchange configuration = new ConfigurationExchange(new ExecutorScheduler(loops), active, metrics);
         LinkContext context =
@@ -131,18 +134,22 @@
         EntrySelection selection = new EntrySelection(settings.instance(), settings.place());
         EntryMesh mesh = new EntryMesh(selection, EntryLinks.seeds(settings), SystemNanoClock.INSTANCE);
         this.entries = new EntryLinks(context, mesh, list);
+        SidecarMetrics.publish(calls, metrics);
+        this.metricsServer = settings.metricsAddress().map(address -> new SidecarMetrics(loops, address, metrics));
     }
 
-    private KeyedCalls keyedCalls(ObjectStore store, RandomGenerator random, Incarnation incarnation) {
+    private KeyedCalls keyedCalls(
+            ObjectStore store, RandomGenerator random, Incarnation incarnation, MetricRegistry metrics) {
         ServiceName service = new ServiceName(settings.serves().get(0));
         ClaimEnvironment environment =
                 new ClaimEnvironment(store, new ExecutorScheduler(loops), clock::millis, random, incarnation);
         return new KeyedCalls(
-                service, new ClaimLog(service, ClaimSettings.builder().build(), environment));
+                service, new ClaimLog(service, ClaimSettings.builder().build(), environment), metrics);
     }
 
     /** Opens links to the entry daemons, or waits for the opening time; at closing time the sidecar stops. */
     public void start() {
+        metricsServer.ifPresent(SidecarMetrics::start);
         followHours();
         loops.scheduleAtFixedRate(
                 this::followHours, HOURS_INTERVAL_MILLIS, HOURS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -178,11 +185,17 @@
         entries.stop();
         await(entries::isClosed, System.nanoTime(), CLOSE_TIMEOUT);
         target.stop();
+        metricsServer.ifPresent(SidecarMetrics::stop);
         platform.ifPresent(SidecarPlatform::stop);
         loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         Logger.info("sidecar of {} stopped", settings.instance());
     }
 
+    /** Returns the port on which metrics are read, if the settings name an address. */
+    public OptionalInt metricsPort() {
+        return metricsServer.map(server -> OptionalInt.of(server.port())).orElseGet(OptionalInt::empty);
+    }
+
     /** Tells whether the sidecar has stopped, on request or at closing time. */
     public boolean isStopped() {
         return loops.isTerminated();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
@@ -61,7 +61,8 @@
         Either<List<SettingsError>, SidecarSettings> settings = SidecarSettingsFile.read(file);
         if (settings.isLeft()) {
             settings.getLeft().forEach(error -> err.println("error: " + error));
-            err.println(settings.getLeft().size() + " faults; the sidecar was not started");
+            int faults = settings.getLeft().size();
+            err.println(faults + (faults == 1 ? " fault" : " faults") + "; the sidecar was not started");
             return INVALID_FILE;
         }
         serve(settings.get(), out);
@@ -73,7 +74,7 @@
         SidecarDaemon daemon = new SidecarDaemon(settings);
         daemon.start();
         out.println("sidecar of " + settings.instance() + " ready: target " + settings.targetAddress());
-        signal.await();
+        signal.awaitUnless(daemon::isStopped);
         daemon.stop();
     }
 
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettings.java
@@ -4,7 +4,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.TargetKind;
-import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.base.time.OpeningHours;
 import io.endiveshed.coordination.membership.Place;
 import io.endiveshed.net.link.LinkSecret;
 import java.net.InetSocketAddress;
@@ -34,6 +34,7 @@
     private final Duration stopGrace;
     private final OpeningHours openingHours;
     private final Optional<InetSocketAddress> platformAddress;
+    private final Optional<InetSocketAddress> metricsAddress;
 
     private SidecarSettings(Builder builder) {
         this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -49,6 +50,7 @@
         this.stopGrace = builder.stopGrace;
         this.openingHours = builder.openingHours;
         this.platformAddress = Optional.ofNullable(builder.platformAddress);
+        this.metricsAddress = Optional.ofNullable(builder.metricsAddress);
     }
 
     /** Starts settings. */
@@ -126,6 +128,11 @@
         return platformAddress;
     }
 
+    /** Returns the address on which metrics are read, if any. */
+    public Optional<InetSocketAddress> metricsAddress() {
+        return metricsAddress;
+    }
+
     /** Returns the same settings with other entries. */
     public SidecarSettings withEntries(List<InetSocketAddress> value) {
         Builder builder = builder()
@@ -138,7 +145,10 @@
                 .entries(value)
                 .linkSecret(linkSecret)
                 .kvCapacityTokens(kvCapacityTokens)
-                .maxRunning(maxRunning);
+                .maxRunning(maxRunning)
+                .stopGrace(stopGrace)
+                .openingHours(openingHours);
+        metricsAddress.ifPresent(builder::metricsAddress);
         platformAddress.ifPresent(builder::platformAddress);
         return builder.build();
     }
@@ -158,6 +168,7 @@
         private Duration stopGrace = DEFAULT_STOP_GRACE;
         private OpeningHours openingHours = OpeningHours.ALWAYS;
         private InetSocketAddress platformAddress;
+        private InetSocketAddress metricsAddress;
 
         private Builder() {}
 
@@ -239,6 +250,12 @@
             return this;
         }
 
+        /** Sets the address on which metrics are read. */
+        public Builder metricsAddress(InetSocketAddress value) {
+            this.metricsAddress = value;
+            return this;
+        }
+
         /** Builds the settings; throws {@link NullPointerException} naming a value that is missing. */
         public SidecarSettings build() {
             return new SidecarSettings(this);
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettingsFile.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarSettingsFile.java
@@ -45,6 +45,7 @@
         if (!root.has("target")) {
             root.fault("target", "\"target\" is missing", "add \"target:\" with kind, address and serves");
         }
+        ProcessSettings.address(root, "metrics", root.text("metrics")).ifPresent(builder::metricsAddress);
         root.section("target").ifPresent(target -> target(target, builder));
         root.finish();
         if (!errors.isEmpty()) {
@@ -56,6 +57,8 @@
                 .failureDomain(process.failureDomain().orElseThrow())
                 .linkSecret(new LinkSecret(process.linkSecret().orElseThrow()))
                 .entries(entries)
+                .stopGrace(process.stopGrace().orElse(SidecarSettings.DEFAULT_STOP_GRACE))
+                .openingHours(process.openingHours().orElseThrow())
                 .build());
     }
 
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCalls.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/KeyedCalls.java
@@ -1,5 +1,7 @@
 package io.endiveshed.sidecar.internal;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.Outcome;
@@ -34,10 +36,16 @@
 
     private final ServiceName service;
     private final ClaimLog log;
+    private final Counter granted;
+    private final Counter repeated;
+    private final Counter refused;
     private final AtomicInteger completing = new AtomicInteger();
 
-    /** Makes the gate of one service's calls. */
-    public KeyedCalls(ServiceName service, ClaimLog log) {
+    /** Makes the gate of one service's calls, which counts claims as {@code sidecar.claims_<decision>}. */
+    public KeyedCalls(ServiceName service, ClaimLog log, MetricRegistry metrics) {
+        this.granted = metrics.counter("sidecar.claims_granted");
+        this.repeated = metrics.counter("sidecar.claims_repeated");
+        this.refused = metrics.counter("sidecar.claims_refused");
         this.service = service;
         this.log = log;
     }
@@ -79,15 +87,18 @@
         written.thenRun(completing::decrementAndGet);
     }
 
-    private static void decided(TargetCall call, KeyedCall fence, ClaimDecision decision, Runnable queue) {
+    private void decided(TargetCall call, KeyedCall fence, ClaimDecision decision, Runnable queue) {
         if (decision instanceof ClaimDecision.Granted) {
+            granted.inc();
             queue.run();
             return;
         }
         fence.refused();
         if (decision instanceof ClaimDecision.Completed completed) {
+            repeated.inc();
             answer(call, completed.answer());
         } else {
+            refused.inc();
             call.refuse(failure(decision));
         }
     }
--- a/sidecar/src/test/java/io/endiveshed/sidecar/SidecarSettingsFileTest.java
+++ b/sidecar/src/test/java/io/endiveshed/sidecar/SidecarSettingsFileTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -26,6 +27,27 @@
         assertThat(settings.serves()).containsExactly("tsehay-llm");
         assertThat(settings.kvCapacityTokens()).isEqualTo(4_000_000);
         assertThat(settings.entries()).hasSize(1);
+        assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(30));
+        assertThat(settings.openingHours().windows()).hasSize(1);
+        assertThat(settings.metricsAddress().orElseThrow().getPort()).isEqualTo(9100);
+    }
+
+    /** Guards against copied settings that lose the hours and the grace period. */
+    @Test
+    void otherEntriesKeepTheOtherSettings() throws IOException {
+        SidecarSettings settings = SidecarSettingsFile.read(file("""
+                        instance: a
+                        region: north
+                        failure-domain: north-a
+                        link-secret: long-enough
+                        platform: 127.0.0.1:9000
+                        stop-grace: 7s
+                        hours: {zone: Europe/Oslo, open: 08:00, close: 22:00}
+                        target: {kind: service, address: 127.0.0.1:8000, serves: [depot-app]}
+                        """)).get();
+        SidecarSettings copy = settings.withEntries(List.of());
+        assertThat(copy.stopGrace()).isEqualTo(Duration.ofSeconds(7));
+        assertThat(copy.openingHours()).isEqualTo(settings.openingHours());
     }
 
     @Test
--- a/standins/src/test/java/io/endiveshed/standins/Configurations.java
+++ b/standins/src/test/java/io/endiveshed/standins/Configurations.java
@@ -6,13 +6,13 @@
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.time.OpeningHours;
 import io.endiveshed.coordination.config.AccountConfig;
 import io.endiveshed.coordination.config.AccountLimits;
 import io.endiveshed.coordination.config.Configuration;
 import io.endiveshed.coordination.config.ConfigurationContent;
 import io.endiveshed.coordination.config.ModelConfig;
 import io.endiveshed.coordination.config.Offering;
-import io.endiveshed.coordination.config.OpeningHours;
 import io.endiveshed.coordination.config.ServiceConfig;
 import java.time.DayOfWeek;
 import java.time.Duration;
@@ -27,7 +27,7 @@
 
     /** Returns a configuration with accounts whose weight is given, which makes contents differ. */
     static Configuration of(int accounts, int weight) {
-        OpeningHours hours = new OpeningHours(
+        OpeningHours hours = OpeningHours.of(
                 ZoneId.of("Europe/Oslo"),
                 Set.of(DayOfWeek.MONDAY, DayOfWeek.FRIDAY),
                 LocalTime.of(8, 0),
