--- a/local/src/test/java/io/endiveshed/local/EngineAdmissionTest.java
+++ b/local/src/test/java/io/endiveshed/local/EngineAdmissionTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.endiveshed.coordination.membership.OpeningHours;
+import io.endiveshed.base.time.OpeningHours;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
--- a/verification/src/test/java/io/endiveshed/verification/history/Scenario.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/Scenario.java
@@ -118,6 +118,7 @@
                 new CallPlan(
                         new RoutingRequest(kind, name(kind), keyed ? 0 : 100, keyed ? 0 : 100),
                         new ClientAccountId("ferry"),
+                        1,
                         0,
                         deadlineMillis,
                         "POST",
--- a/verification/src/test/java/io/endiveshed/verification/history/SidecarNode.java
+++ b/verification/src/test/java/io/endiveshed/verification/history/SidecarNode.java
@@ -61,8 +61,8 @@
                         () -> WALL_CLOCK_OFFSET_MILLIS + TimeUnit.NANOSECONDS.toMillis(time.nanoTime()),
                         random,
                         incarnation));
-        this.calls =
-                new TargetCalls(settings, incarnation, target.client(node), new KeyedCalls(service, log, time), time);
+        KeyedCalls keyedCalls = new KeyedCalls(service, log, time, new MetricRegistry());
+        this.calls = new TargetCalls(settings, incarnation, target.client(node), keyedCalls, time);
     }
 
     /** Opens links and starts the periodic tasks of the daemon. */
