Enforce the models and services that an account may use

Cause: the setting may-use was validated and distributed, but no process acted on it. Before: any account reached any model; after: not_permitted with outcome not_run (AccountPermissionTest).

--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -134,6 +134,7 @@
         AccountConfig account = authenticate(request);
         CompletionBody body = CompletionBody.parse(request.body());
         ModelConfig model = model(body.model());
+        checkMayUse(account, body.model());
         RoutingRequest routing =
                 new RoutingRequest(TargetKind.ENGINE, body.model(), body.estimatedPromptTokens(), body.maxTokens());
         dispatcher.dispatch(
@@ -159,6 +160,7 @@
         String name = slash < 0 ? rest : rest.substring(0, slash);
         String path = slash < 0 ? "/" : rest.substring(slash);
         ServiceConfig config = service(name);
+        checkMayUse(account, name);
         Optional<String> key = idempotencyKey(request);
         if (key.isEmpty() && config.isNonRepeatable(request.method(), path)) {
             throw failure(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, request.method() + " " + path + " may not be repeated");
@@ -189,6 +191,12 @@
         }
     }
 
+    private static void checkMayUse(AccountConfig account, String name) {
+        if (!account.mayUse(name)) {
+            throw failure(ErrorKind.NOT_PERMITTED, "client account " + account.id() + " may not use " + name);
+        }
+    }
+
     private AccountConfig authenticate(HttpRequestData request) {
         requireConfiguration();
         return BearerKeys.account(
