Give sidecars of plain services a store budget for claims

Cause: a sidecar had 4 store calls a second for all uses, while one claim takes up to four calls, so bookings were refused with BUDGET_SPENT while the platform was up.

--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -99,7 +99,11 @@
     }
 
     private SidecarDaemon(SidecarSettings settings, MetricRegistry metrics) {
-        this(settings, metrics, settings.platformAddress().map(address -> new SidecarPlatform(address, metrics)));
+        this(
+                settings,
+                metrics,
+                settings.platformAddress()
+                        .map(address -> new SidecarPlatform(address, settings.targetKind(), metrics)));
     }
 
     private SidecarDaemon(SidecarSettings settings, MetricRegistry metrics, Optional<SidecarPlatform> platform) {
