End the sidecar when its metrics address cannot be bound

Cause: an exception at start left event loops running, so that the process stayed without serving. Before: the process hung until it was killed (seen once by hand); after: it names the remedy and exits with code 1. Ruled out: the entry, which already did so. No test starts the process; it was run by hand.

--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarMain.java
@@ -19,6 +19,7 @@
 public final class SidecarMain {
     private static final int USAGE_ERROR = 2;
     private static final int INVALID_FILE = 3;
+    private static final int CANNOT_LISTEN = 1;
     private static final String USAGE = "usage: endiveshed-sidecar --settings FILE";
     private static final String DESCRIPTION = """
 
@@ -65,17 +66,32 @@
             err.println(faults + (faults == 1 ? " fault" : " faults") + "; the sidecar was not started");
             return INVALID_FILE;
         }
-        serve(settings.get(), out);
-        return 0;
+        return serve(settings.get(), out, err);
     }
 
-    private static void serve(SidecarSettings settings, PrintStream out) throws InterruptedException {
+    private static int serve(SidecarSettings settings, PrintStream out, PrintStream err) throws InterruptedException {
         StopSignal signal = StopSignal.install();
         SidecarDaemon daemon = new SidecarDaemon(settings);
-        daemon.start();
+        if (!start(daemon, err)) {
+            daemon.stop();
+            return CANNOT_LISTEN;
+        }
         out.println("sidecar of " + settings.instance() + " ready: target " + settings.targetAddress());
         signal.awaitUnless(daemon::isStopped);
         daemon.stop();
+        return 0;
+    }
+
+    /** The transport throws checked exceptions such as BindException without declaring them. */
+    private static boolean start(SidecarDaemon daemon, PrintStream err) {
+        try {
+            daemon.start();
+            return true;
+        } catch (Exception e) {
+            err.println("error: the sidecar cannot listen: " + e.getMessage());
+            err.println("remedy: choose a free port and an address of this instance in \"metrics\"");
+            return false;
+        }
     }
 
     private static final class Options {
