Take back the fresh level of the fair share and record the fault

Cause: with a level of at most 5 ms of age before a refusal, AdmissionTest.cutsLargeAccountsToTheirShareAndLeavesSmallOnesAlone fails: the level follows the burst of the large account, which then gets 4,000 or more requests. Also: a server that was never started can be stopped; a sidecar whose metrics address was taken ended with a NullPointerException and stayed.

--- a/coordination/src/main/java/io/endiveshed/coordination/admission/FairShare.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/admission/FairShare.java
@@ -23,15 +23,6 @@
 
     /** The level changes slowly and costs a sort of the accounts, so it is reused for this time, in nanoseconds. */
     private static final long LEVEL_VALIDITY_NANOS = 100_000_000L;
-
-    /**
-     * A level from before a burst lets its first requests look like too much, even those of a lone account, so that a
-     * refusal needs a level of this age at most, in nanoseconds. It bounds the sorts under overload to 200 a second.
-     */
-    private static final long REFUSAL_VALIDITY_NANOS = 5_000_000L;
-
-    private static final long NEVER = Long.MIN_VALUE;
-
     /** Accounts whose recent demand has fallen below this are dropped, in nanoseconds of engine time. */
     private static final double NEGLIGIBLE_NANOS = 1_000_000;
     /** Part above its share that an account may use for long prompts, so that measurement noise refuses nobody. */
@@ -42,7 +33,7 @@
 
     private final LongSupplier nanoClock;
     private final Map<ClientAccountId, Usage> usages = new ConcurrentHashMap<>();
-    private volatile Level level = new Level(Double.POSITIVE_INFINITY, NEVER);
+    private volatile Level level = new Level(Double.POSITIVE_INFINITY, Long.MIN_VALUE);
 
     /** Makes an empty record. */
     public FairShare(LongSupplier nanoClock) {
@@ -64,15 +55,13 @@
      * first: most of an account's work is in few of them, so it stays near its share with few refusals.
      */
     public boolean isOverShare(ClientAccountId account, int weight, LengthBand band) {
-        double used = usage(account, weight).accepted.value();
-        return used > tolerance(band) * weight * level(LEVEL_VALIDITY_NANOS)
-                && used > tolerance(band) * weight * level(REFUSAL_VALIDITY_NANOS);
+        return usage(account, weight).accepted.value() > tolerance(band) * weight * level();
     }
 
     /** Returns the time after which an account over its share falls to it if it sends nothing, in nanoseconds. */
     public long nanosUntilShare(ClientAccountId account, int weight, LengthBand band) {
         double used = usage(account, weight).accepted.value();
-        double share = Math.max(1, tolerance(band) * weight * level(REFUSAL_VALIDITY_NANOS));
+        double share = Math.max(1, tolerance(band) * weight * level());
         return used <= share ? 0 : Math.round(TIME_CONSTANT_NANOS * Math.log(used / share));
     }
 
@@ -88,12 +77,12 @@
         return usages.computeIfAbsent(account, id -> new Usage(weight, nanoClock));
     }
 
-    private double level(long maxAgeNanos) {
+    private double level() {
         Level current = level;
         long now = nanoClock.getAsLong();
-        if (current.computedNanos == NEVER || now - current.computedNanos >= maxAgeNanos) {
+        if (current.validUntilNanos <= now) {
             usages.values().removeIf(usage -> usage.demand.value() < NEGLIGIBLE_NANOS);
-            current = new Level(computeLevel(), now);
+            current = new Level(computeLevel(), now + LEVEL_VALIDITY_NANOS);
             level = current;
         }
         return current.nanosPerWeight;
@@ -120,7 +109,7 @@
         return Double.POSITIVE_INFINITY;
     }
 
-    private record Level(double nanosPerWeight, long computedNanos) {}
+    private record Level(double nanosPerWeight, long validUntilNanos) {}
 
     private record Demand(double nanosPerWeight, int weight) {}
 
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -103,6 +103,9 @@
 
     /** Stops listening; open connections stay open. */
     public void stop() {
+        if (channel == null) {
+            return;
+        }
         channel.close().syncUninterruptibly();
     }
 }
