--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package io.endiveshed.base.log;
--- /dev/null
+++ b/base/src/main/java/io/endiveshed/base/process/Signals.java
@@ -0,0 +1,27 @@
+package io.endiveshed.base.process;
+
+import java.lang.reflect.Proxy;
+
+/** Handlers of the operating system's signals. */
+final class Signals {
+    private Signals() {}
+
+    /** Uses reflection, because the compiler warns of any direct use of the class, and warnings are errors here. */
+    static void handle(String name, Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
+                        if (method.getName().equals("handle")) {
+                            action.run();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("cannot handle SIG" + name + "; run a JDK with module jdk.unsupported", e);
+        }
+    }
+}
--- a/base/src/main/java/io/endiveshed/base/process/StopSignal.java
+++ b/base/src/main/java/io/endiveshed/base/process/StopSignal.java
@@ -1,6 +1,5 @@
 package io.endiveshed.base.process;
 
-import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +34,7 @@
     public static StopSignal install() {
         StopSignal signal = new StopSignal();
         for (String name : SIGNALS) {
-            signal.handle(name);
+            Signals.handle(name, signal::onSignal);
         }
         return signal;
     }
@@ -63,23 +62,4 @@
         }
         received.countDown();
     }
-
-    /** Uses reflection, because the compiler warns of any direct use of the class, and warnings are errors here. */
-    private void handle(String name) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(
-                    StopSignal.class.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
-                        if (method.getName().equals("handle")) {
-                            onSignal();
-                        }
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
-        } catch (ReflectiveOperationException e) {
-            throw new IllegalStateException("cannot handle SIG" + name + "; run a JDK with module jdk.unsupported", e);
-        }
-    }
 }
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineCandidate.java
@@ -0,0 +1,13 @@
+package io.endiveshed.coordination.engine;
+
+import io.endiveshed.base.id.InstanceId;
+
+/**
+ * An engine on which a prompt may be placed.
+ *
+ * @param id the engine
+ * @param slots requests that it runs at once
+ * @param load what is known of its work
+ * @param distanceMillis one-way delay to it in milliseconds
+ */
+public record EngineCandidate(InstanceId id, int slots, EngineLoad load, double distanceMillis) {}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
@@ -0,0 +1,97 @@
+package io.endiveshed.coordination.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is known of the work on one engine, from this entry's own requests and from the notices of other entries.
+ *
+ * <p>Confined to one thread.
+ */
+public final class EngineLoad {
+    /** Work is dropped when it is this much past its predicted end, in case its owner could not tell of the end. */
+    private static final long OVERDUE_NANOS = 8_000_000_000L;
+
+    private final List<EngineWork> works = new ArrayList<>();
+    private long readUntilNanos;
+    private double pace = 1;
+    private int reportedWaiting;
+    private long reportedAtNanos;
+
+    /** Returns the moment at which the engine will probably have read all prompts that it was given. */
+    long readUntilNanos() {
+        return readUntilNanos;
+    }
+
+    /** Returns how many times slower than its cost model the engine is; 1 if it keeps to the model. */
+    public double pace() {
+        return pace;
+    }
+
+    /** Sets how many times slower than its cost model the engine is. */
+    public void pace(double value) {
+        pace = value;
+    }
+
+    /** Notes the number of waiting requests that the engine reported. */
+    public void reported(int waiting, long nowNanos) {
+        reportedWaiting = waiting;
+        reportedAtNanos = nowNanos;
+    }
+
+    int recentlyWaiting(long nowNanos, long maxAgeNanos) {
+        return nowNanos - reportedAtNanos <= maxAgeNanos ? reportedWaiting : 0;
+    }
+
+    /** Returns the work that is not finished. */
+    public List<EngineWork> works() {
+        return works;
+    }
+
+    /** Returns the number of requests that hold a slot. */
+    public int writers() {
+        int count = 0;
+        for (EngineWork work : works) {
+            if (work.isWriter()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the tokens that the work holds in memory. */
+    public long memoryTokens() {
+        long sum = 0;
+        for (EngineWork work : works) {
+            sum += work.memoryTokens();
+        }
+        return sum;
+    }
+
+    /** Adds work and the time in milliseconds for which the engine reads for it. */
+    public void add(EngineWork work, double readMillis, long nowNanos) {
+        works.add(work);
+        readUntilNanos = Math.max(readUntilNanos, nowNanos) + (long) (readMillis * 1e6);
+    }
+
+    /**
+     * Removes work that has ended. Reading that has not been done by now is not needed any more, so the backlog shrinks
+     * by the share of it that the work still had.
+     */
+    public void remove(int owner, long number, double unreadMillis, long nowNanos) {
+        boolean removed = works.removeIf(work -> work.owner() == owner && work.number() == number);
+        if (removed && unreadMillis > 0) {
+            readUntilNanos = Math.max(nowNanos, readUntilNanos - (long) (unreadMillis * 1e6));
+        }
+    }
+
+    /** Forgets the work of an entry that is gone. */
+    public void removeOwner(int owner) {
+        works.removeIf(work -> work.owner() == owner);
+    }
+
+    /** Forgets work whose end is long overdue. */
+    public void expire(long nowNanos) {
+        works.removeIf(work -> nowNanos - work.endNanos() > OVERDUE_NANOS);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/Placement.java
@@ -0,0 +1,20 @@
+package io.endiveshed.coordination.engine;
+
+import java.util.List;
+
+/**
+ * Where a prompt is read and written.
+ *
+ * @param first engine that gets the request and writes the answer
+ * @param helpers engines that read parts of the prompt; empty if the first reads it alone
+ * @param readMillis time in milliseconds for which each of them reads
+ * @param firstEventMillis predicted time in milliseconds until the first event
+ * @param cost what callers lose by it, in the unit of {@link PromptRequest#weight}
+ */
+public record Placement(
+        EngineCandidate first, List<EngineCandidate> helpers, double readMillis, double firstEventMillis, double cost) {
+    /** Returns the number of engines. */
+    public int engines() {
+        return 1 + helpers.size();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/freshness/package-info.java
@@ -0,0 +1,2 @@
+/** How old the knowledge of a process is. */
+package io.endiveshed.coordination.freshness;
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/package-info.java
@@ -0,0 +1,2 @@
+/** Services that an operator offers: routes, client accounts and the targets behind them. */
+package io.endiveshed.coordination.service;
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -0,0 +1,108 @@
+package io.endiveshed.gateway;
+
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.settings.Section;
+import io.endiveshed.settings.SettingsError;
+import io.endiveshed.settings.YamlFile;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Reads {@link GatewaySettings} from YAML. */
+public final class GatewaySettingsFile {
+    private static final String ADDRESS_EXAMPLE = "10.0.0.1:8080";
+    private static final Duration MIN_TIME = Duration.ofMillis(1);
+    private static final Duration MAX_TIME = Duration.ofHours(1);
+    private static final long MAX_ALLOWANCE = 1_000_000;
+
+    private GatewaySettingsFile() {}
+
+    /** Reads the file; on the left are all its faults. */
+    public static Either<List<SettingsError>, GatewaySettings> read(Path file) {
+        List<SettingsError> errors = new ArrayList<>();
+        return finish(errors, YamlFile.read(file, errors).flatMap(root -> settings(root, errors)));
+    }
+
+    /** Parses text; the name stands for the file in errors. */
+    public static Either<List<SettingsError>, GatewaySettings> parse(String name, String text) {
+        List<SettingsError> errors = new ArrayList<>();
+        return finish(errors, YamlFile.parse(name, text, errors).flatMap(root -> settings(root, errors)));
+    }
+
+    private static Either<List<SettingsError>, GatewaySettings> finish(
+            List<SettingsError> errors, Optional<GatewaySettings> settings) {
+        return errors.isEmpty() ? Either.right(settings.orElseThrow()) : Either.left(errors);
+    }
+
+    private static Optional<GatewaySettings> settings(Section root, List<SettingsError> errors) {
+        Optional<InstanceId> instance = root.value("instance", root.required("instance", "entry-1"), InstanceId::new);
+        Optional<FailureDomain> domain =
+                root.value("failure-domain", root.required("failure-domain", "north"), FailureDomain::new);
+        Optional<InetSocketAddress> callers = address(root, "callers");
+        Optional<InetSocketAddress> ready = address(root, "ready");
+        Optional<InetSocketAddress> metrics = address(root, "metrics");
+        Optional<InetSocketAddress> peers = address(root, "peers");
+        Optional<InetSocketAddress> platform = address(root, "platform");
+        Optional<GatewaySettings.Bounds> bounds = root.section("bounds").flatMap(GatewaySettingsFile::bounds);
+        if (!root.has("bounds")) {
+            root.fault("bounds", "\"bounds\" is missing", "add the section \"bounds\" as docs/operators.md shows");
+        }
+        root.finish();
+        if (!errors.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new GatewaySettings(
+                instance.orElseThrow(),
+                domain.orElseThrow(),
+                callers.orElseThrow(),
+                ready.orElseThrow(),
+                metrics.orElseThrow(),
+                peers.orElseThrow(),
+                platform.orElseThrow(),
+                bounds.orElseThrow()));
+    }
+
+    private static Optional<GatewaySettings.Bounds> bounds(Section section) {
+        Optional<Duration> revocation = time(section, "revocation");
+        Optional<Duration> apply = time(section, "configuration-apply");
+        Optional<Duration> grace = time(section, "stop-grace");
+        Optional<Double> share =
+                section.value("retry-share", section.required("retry-share", "0.2"), GatewaySettingsFile::share);
+        Optional<Long> allowance = section.number("retry-allowance", 0, MAX_ALLOWANCE);
+        section.finish();
+        if (revocation.isEmpty() || apply.isEmpty() || grace.isEmpty() || share.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new GatewaySettings.Bounds(
+                revocation.get(), apply.get(), grace.get(), share.get(), allowance.orElse(0L)));
+    }
+
+    private static Optional<Duration> time(Section section, String key) {
+        Optional<Duration> time = section.time(key, MIN_TIME, MAX_TIME);
+        if (!section.has(key)) {
+            section.fault(key, "\"" + key + "\" is missing", "add the line \"" + key + ": 5s\"");
+        }
+        return time;
+    }
+
+    private static double share(String text) {
+        double share = Double.parseDouble(text);
+        if (share < 0 || share > 1) {
+            throw new IllegalArgumentException("write a share from 0 to 1");
+        }
+        return share;
+    }
+
+    private static Optional<InetSocketAddress> address(Section root, String key) {
+        return root.value(
+                key,
+                root.required(key, ADDRESS_EXAMPLE),
+                text -> Endpoint.parse(text).socketAddress());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -0,0 +1,22 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.gateway.TargetOptions;
+import java.util.List;
+
+/** A target that was chosen for one attempt, until the attempt ends. Confined to one event loop. */
+interface Assignment {
+    /** Returns the target. */
+    TargetRuntime target();
+
+    /** Returns the engines that help it. */
+    List<TargetOptions.Helper> helpers();
+
+    /** Returns the predicted time in milliseconds until the answer begins. */
+    double predictedMillis();
+
+    /** Notes that the answer, or the first event of a stream, has begun. */
+    void begun();
+
+    /** Gives back what the attempt took; may be called more than once. */
+    void end();
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
@@ -0,0 +1,188 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.error.ErrorKind;
+import io.endiveshed.base.error.Failure;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.engine.EngineCandidate;
+import io.endiveshed.coordination.engine.EnginePlacer;
+import io.endiveshed.coordination.engine.EngineProfile;
+import io.endiveshed.coordination.engine.Placement;
+import io.endiveshed.coordination.engine.PromptRequest;
+import io.endiveshed.gateway.CallerRequest.PromptSize;
+import io.endiveshed.gateway.TargetOptions;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses the engines of a prompt by {@link EnginePlacer}, and tells the other entries. */
+final class EngineChoice implements TargetChoice {
+    /** Bytes of a body for each token, for requests that do not tell the size of their prompt. */
+    private static final int BYTES_PER_TOKEN = 4;
+
+    /** Output that is expected where a request tells none, in tokens. */
+    private static final long DEFAULT_OUTPUT_TOKENS = 500;
+
+    /** Wait that a caller is told when no engine is known; entries of living targets return within this time. */
+    private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(500);
+
+    private final Targets targets;
+    private final FailureDomain domain;
+    private final EngineWorks works;
+    private final PeerExchange peers;
+    private final EnginePlacer placer = new EnginePlacer();
+    private long lastNumber;
+
+    EngineChoice(Targets targets, FailureDomain domain, EngineWorks works, PeerExchange peers) {
+        this.targets = targets;
+        this.domain = domain;
+        this.works = works;
+        this.peers = peers;
+    }
+
+    @Override
+    public Either<Failure, Assignment> choose(RequestState request, Set<TargetRuntime> excluded, long nowNanos) {
+        EngineProfile profile = request.service().engine().orElseThrow();
+        PromptRequest prompt = prompt(request, nowNanos);
+        if (prompt.promptTokens() > profile.memoryTokens()) {
+            return refuse("prompt of " + prompt.promptTokens() + " tokens exceeds an engine's memory", Duration.ZERO);
+        }
+        IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
+        List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
+        if (candidates.isEmpty()) {
+            return refuse("no usable engine of " + request.service().name(), NO_ENGINE_RETRY);
+        }
+        return placer.place(profile, prompt, candidates, nowNanos)
+                .fold(
+                        wait -> refuse("all engines are busy", Duration.ofMillis(wait)),
+                        placement -> Either.right(assign(profile, prompt, placement, runtimes, nowNanos)));
+    }
+
+    private List<EngineCandidate> candidates(
+            RequestState request,
+            Set<TargetRuntime> excluded,
+            long nowNanos,
+            IdentityHashMap<EngineCandidate, TargetRuntime> runtimes) {
+        List<EngineCandidate> candidates = new ArrayList<>();
+        for (TargetRuntime target : targets.of(request.service().name())) {
+            if (!excluded.contains(target) && !target.reputation().isPaused(nowNanos)) {
+                double distance = request.service()
+                        .delays()
+                        .between(domain, target.instance().domain());
+                EngineCandidate candidate = new EngineCandidate(
+                        target.instance().id(), target.instance().slots(), target.load(), distance);
+                candidates.add(candidate);
+                runtimes.put(candidate, target);
+            }
+        }
+        return candidates;
+    }
+
+    private static PromptRequest prompt(RequestState request, long nowNanos) {
+        Optional<PromptSize> size = request.caller().prompt();
+        double elapsed = request.elapsedMillis(nowNanos);
+        double patience = CallerPatience.gapMillis(request.route()) - elapsed;
+        return new PromptRequest(
+                size.map(PromptSize::promptTokens)
+                        .orElse((long) request.caller().data().body().length / BYTES_PER_TOKEN),
+                size.map(PromptSize::expectedOutputTokens).orElse(DEFAULT_OUTPUT_TOKENS),
+                request.route().targetLatencyMillis() - elapsed,
+                Math.min(patience, request.remainingMillis(nowNanos)),
+                Math.max(1, request.route().maxPauseMillis()));
+    }
+
+    private Assignment assign(
+            EngineProfile profile,
+            PromptRequest prompt,
+            Placement placement,
+            IdentityHashMap<EngineCandidate, TargetRuntime> runtimes,
+            long nowNanos) {
+        lastNumber++;
+        List<InstanceId> ids = new ArrayList<>();
+        List<TargetOptions.Helper> helpers = new ArrayList<>();
+        ids.add(placement.first().id());
+        for (EngineCandidate helper : placement.helpers()) {
+            ids.add(helper.id());
+            helpers.add(new TargetOptions.Helper(runtimes.get(helper).instance().endpoint(), Optional.empty()));
+        }
+        double write = profile.writeMillis(
+                prompt.outputTokens(), placement.first().load().writers() + 1);
+        WorkNotice notice = new WorkNotice(
+                lastNumber,
+                ids,
+                placement.readMillis(),
+                placement.firstEventMillis(),
+                placement.firstEventMillis() + write,
+                prompt.firstEventMillis(),
+                prompt.maxPauseMillis(),
+                prompt.weight(),
+                prompt.promptTokens() + prompt.outputTokens());
+        TargetRuntime target = runtimes.get(placement.first());
+        target.began();
+        works.started(EngineWorks.SELF, notice);
+        peers.started(notice);
+        return new EngineAssignment(target, helpers, notice, nowNanos);
+    }
+
+    private static Either<Failure, Assignment> refuse(String message, Duration retryAfter) {
+        Failure.Builder failure = Failure.of(ErrorKind.OVERLOADED).message(message);
+        return Either.left(
+                retryAfter.isZero()
+                        ? failure.build()
+                        : failure.retryAfter(retryAfter).build());
+    }
+
+    private final class EngineAssignment implements Assignment {
+        private final TargetRuntime target;
+        private final List<TargetOptions.Helper> helpers;
+        private final WorkNotice notice;
+        private final long startedNanos;
+        private boolean begun;
+        private boolean ended;
+
+        EngineAssignment(
+                TargetRuntime target, List<TargetOptions.Helper> helpers, WorkNotice notice, long startedNanos) {
+            this.target = target;
+            this.helpers = helpers;
+            this.notice = notice;
+            this.startedNanos = startedNanos;
+        }
+
+        @Override
+        public TargetRuntime target() {
+            return target;
+        }
+
+        @Override
+        public List<TargetOptions.Helper> helpers() {
+            return helpers;
+        }
+
+        @Override
+        public double predictedMillis() {
+            return notice.firstEventMillis();
+        }
+
+        @Override
+        public void begun() {
+            begun = true;
+        }
+
+        @Override
+        public void end() {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            target.ended();
+            double left = notice.firstEventMillis() - (System.nanoTime() - startedNanos) / 1e6;
+            double unread = begun ? 0 : Math.max(0, Math.min(notice.readMillis(), left));
+            works.ended(EngineWorks.SELF, notice.number(), unread);
+            peers.ended(notice.number(), unread);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
@@ -0,0 +1,65 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.engine.EngineWork;
+import java.util.List;
+
+/** Keeps the loads of the engines up to date, from this entry's own work and from the notices of the others. */
+final class EngineWorks implements PeerExchange.WorkListener {
+    /** Owner of this entry's own work. */
+    static final int SELF = 0;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final Targets targets;
+
+    EngineWorks(Targets targets) {
+        this.targets = targets;
+    }
+
+    @Override
+    public void started(int owner, WorkNotice notice) {
+        long now = System.nanoTime();
+        List<InstanceId> ids = notice.targets();
+        for (int i = 0; i < ids.size(); i++) {
+            TargetRuntime target = targets.find(ids.get(i));
+            if (target != null) {
+                boolean first = i == 0;
+                target.load()
+                        .add(
+                                new EngineWork(
+                                        owner,
+                                        notice.number(),
+                                        after(now, notice.firstEventMillis()),
+                                        after(now, notice.endMillis()),
+                                        after(now, notice.firstEventLimitMillis()),
+                                        notice.maxPauseMillis(),
+                                        first ? notice.weight() : 0,
+                                        first ? notice.memoryTokens() : 0),
+                                notice.readMillis() * target.load().pace(),
+                                now);
+            }
+        }
+    }
+
+    @Override
+    public void ended(int owner, long number, double unreadMillis) {
+        long now = System.nanoTime();
+        targets.all().forEach(target -> target.load().remove(owner, number, unreadMillis, now));
+    }
+
+    @Override
+    public void ownerGone(int owner) {
+        targets.all().forEach(target -> target.load().removeOwner(owner));
+    }
+
+    /** Drops work whose end is overdue. */
+    void expire() {
+        long now = System.nanoTime();
+        targets.all().forEach(target -> target.load().expire(now));
+    }
+
+    private static long after(long now, double millis) {
+        return now + (long) (millis * NANOS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -0,0 +1,402 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.error.ErrorKind;
+import io.endiveshed.base.error.Failure;
+import io.endiveshed.base.error.Outcome;
+import io.endiveshed.coordination.service.RouteKind;
+import io.endiveshed.gateway.AnswerHead;
+import io.endiveshed.gateway.TargetOptions;
+import io.endiveshed.net.http.HttpExchange;
+import io.endiveshed.net.http.HttpRequestData;
+import io.endiveshed.net.http.ResponseSink;
+import io.endiveshed.protocol.Header;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request from its admission to its final answer: attempts at targets, retries, and the end at its time limit.
+ *
+ * <p>Confined to one event loop. An answer is passed on as the target gave it. A failure of the gateway says that the
+ * request has not run only if no attempt may have run.
+ */
+final class ForwardedRequest implements TargetAnswer.Owner {
+    /** Least time in milliseconds that a further attempt needs; less would only load the target. */
+    private static final double MIN_ATTEMPT_MILLIS = 60;
+
+    /** Connections that may fail for one request; they reach no target and so are no attempts. */
+    private static final int MAX_CONNECT_FAILURES = 3;
+
+    /** Time in milliseconds beyond the prediction after which a silent target is given up. */
+    private static final double MIN_STALL_MILLIS = 800;
+
+    /** Share of the prediction by which a target may exceed it before it is given up. */
+    private static final double STALL_SHARE = 0.5;
+
+    /** Pauses of a running stream, in units of the longest that is on time, after which its target is given up. */
+    private static final double STALL_PAUSES = 3;
+
+    /** Allowance in milliseconds for the network in a pause. */
+    private static final double STALL_PAUSE_SLACK_MILLIS = 150;
+
+    /** Wait that a caller is told when a target has refused the request. */
+    private static final Duration TARGET_FULL_RETRY = Duration.ofMillis(200);
+
+    private final GatewayContext context;
+    private final RequestState state;
+    private final ResponseSink sink;
+    private final Runnable whenFinished;
+    private final Set<TargetRuntime> excluded = new HashSet<>();
+    private final RelayedAnswer relay;
+    private Assignment assignment;
+    private TargetAnswer answer;
+    private HttpExchange exchange;
+    private ScheduledFuture<?> limitTimer;
+    private ScheduledFuture<?> stallTimer;
+    private int attempts;
+    private int connectFailures;
+    private boolean mayHaveRun;
+    private boolean finished;
+    private double firstMillis = -1;
+
+    ForwardedRequest(GatewayContext context, RequestState state, ResponseSink sink, Runnable whenFinished) {
+        this.context = context;
+        this.state = state;
+        this.sink = sink;
+        this.whenFinished = whenFinished;
+        this.relay = new RelayedAnswer(sink, context.dialect(), state.caller().lastEventId());
+    }
+
+    void start() {
+        context.budgets().apply(state.service().name()).requested();
+        sink.onDisconnect(this::callerLeft);
+        if (finished) {
+            return;
+        }
+        limitTimer = context.loop()
+                .schedule(this::limitReached, (long) state.remainingMillis(System.nanoTime()), TimeUnit.MILLISECONDS);
+        attempt();
+    }
+
+    private void attempt() {
+        long now = System.nanoTime();
+        long age = context.catalogAge().getAsLong();
+        if (state.account().isPresent() && context.access().isTooOldForKeys(age)) {
+            giveUp(Failure.of(ErrorKind.STORE_UNAVAILABLE)
+                    .message("the desired state was last confirmed " + age + " ms ago")
+                    .retryAfter(TARGET_FULL_RETRY)
+                    .build());
+            return;
+        }
+        TargetChoice choice = state.service().engine().isPresent() ? context.engines() : context.plain();
+        Either<Failure, Assignment> chosen = choice.choose(state, excluded, now);
+        if (chosen.isLeft()) {
+            giveUp(chosen.getLeft());
+            return;
+        }
+        send(chosen.get(), now);
+    }
+
+    private void send(Assignment chosen, long now) {
+        assignment = chosen;
+        attempts++;
+        TargetRuntime target = chosen.target();
+        HttpRequestData data = state.caller().data();
+        OptionalLong lastEvent =
+                relay.hasStarted() ? relay.lastEventId() : state.caller().lastEventId();
+        List<Header> headers = context.dialect()
+                .forTarget(
+                        state.caller(),
+                        new TargetOptions(
+                                target.instance().id(),
+                                (long) state.remainingMillis(now),
+                                state.account().map(account -> account.id()),
+                                Urgency.of(state),
+                                chosen.helpers(),
+                                lastEvent));
+        answer = new TargetAnswer(this, context.dialect(), state.route().kind() == RouteKind.STREAMING, relay);
+        TargetAnswer current = answer;
+        exchange = target.client()
+                .send(
+                        data.method(),
+                        data.uri(),
+                        headers,
+                        data.body(),
+                        current,
+                        head -> context.dialect().isAnswerTo(state.caller().id(), head));
+        relay.exchange(exchange);
+        double stall = chosen.predictedMillis() + Math.max(MIN_STALL_MILLIS, chosen.predictedMillis() * STALL_SHARE);
+        armStall(stall);
+    }
+
+    @Override
+    public void progressed(TargetAnswer from) {
+        if (from != answer) {
+            return;
+        }
+        if (firstMillis < 0) {
+            firstMillis = state.elapsedMillis(System.nanoTime());
+        }
+        assignment.begun();
+        armStall(state.route().maxPauseMillis() * STALL_PAUSES + STALL_PAUSE_SLACK_MILLIS);
+    }
+
+    @Override
+    public void loadReported(TargetAnswer from, AnswerHead.ReportedLoad load) {
+        if (from == answer) {
+            assignment.target().load().reported(load.waiting(), System.nanoTime());
+        }
+    }
+
+    @Override
+    public void succeeded(TargetAnswer from) {
+        if (from != answer || finished) {
+            return;
+        }
+        assignment.target().reputation().answered();
+        from.deliver();
+        finish(from.head().status(), "answered");
+    }
+
+    @Override
+    public void failedByTarget(TargetAnswer from) {
+        if (from != answer || finished) {
+            return;
+        }
+        TargetRuntime target = assignment.target();
+        boolean notRun = from.head().notRun();
+        logAttempt(
+                notRun ? "attempt.refused" : "attempt.failed",
+                "status " + from.head().status());
+        endAttempt();
+        if (notRun) {
+            retryOr(
+                    () -> giveUp(Failure.of(ErrorKind.OVERLOADED)
+                            .message("target " + target.instance().id() + " refused the request with status "
+                                    + from.head().status())
+                            .retryAfter(TARGET_FULL_RETRY)
+                            .build()),
+                    true);
+            return;
+        }
+        target.reputation().failed();
+        mayHaveRun = true;
+        retryOr(
+                () -> {
+                    if (relay.hasStarted()) {
+                        giveUp(broken("the resumed stream failed"));
+                    } else {
+                        from.deliver();
+                        finish(from.head().status(), "failure of the target passed on");
+                    }
+                },
+                false);
+    }
+
+    @Override
+    public void broken(TargetAnswer from, boolean sent, String message) {
+        if (from != answer || finished) {
+            return;
+        }
+        TargetRuntime target = assignment.target();
+        logAttempt("attempt.broken", message);
+        cancelExchange();
+        endAttempt();
+        if (!sent) {
+            target.reputation().silent(System.nanoTime());
+            connectFailures++;
+            attempts--;
+            excluded.add(target);
+            if (connectFailures <= MAX_CONNECT_FAILURES) {
+                attempt();
+            } else {
+                giveUp(Failure.of(ErrorKind.NO_TARGET)
+                        .message(message)
+                        .retryAfter(TARGET_FULL_RETRY)
+                        .build());
+            }
+            return;
+        }
+        target.reputation().failed();
+        mayHaveRun = true;
+        excluded.add(target);
+        retryOr(() -> giveUp(broken(message)), false);
+    }
+
+    private void stalled() {
+        stallTimer = null;
+        if (finished || !mayRetry(false)) {
+            return;
+        }
+        TargetRuntime target = assignment.target();
+        if (!takeBudget()) {
+            return;
+        }
+        logAttempt("attempt.stalled", "no progress");
+        target.reputation().silent(System.nanoTime());
+        mayHaveRun = true;
+        excluded.add(target);
+        cancelExchange();
+        endAttempt();
+        attempt();
+    }
+
+    private void retryOr(Runnable otherwise, boolean notRun) {
+        if (assignment != null) {
+            excluded.add(assignment.target());
+        }
+        if (mayRetry(notRun) && takeBudget()) {
+            context.metrics().count("retries");
+            attempt();
+        } else {
+            otherwise.run();
+        }
+    }
+
+    private boolean mayRetry(boolean notRun) {
+        boolean allowed = (notRun && !mayHaveRun) || state.route().mayRepeat();
+        boolean continuable = !relay.hasStarted() || (state.route().isResumable() && relay.canContinue());
+        return allowed
+                && continuable
+                && attempts < state.route().maxAttempts()
+                && state.remainingMillis(System.nanoTime()) >= MIN_ATTEMPT_MILLIS;
+    }
+
+    private boolean takeBudget() {
+        boolean taken = context.budgets().apply(state.service().name()).tryTake();
+        if (!taken) {
+            context.metrics().count("retries_denied");
+        }
+        return taken;
+    }
+
+    private void limitReached() {
+        if (finished) {
+            return;
+        }
+        boolean running = assignment != null || mayHaveRun;
+        cancelExchange();
+        endAttempt();
+        mayHaveRun |= running;
+        giveUp(Failure.of(ErrorKind.DEADLINE_EXCEEDED)
+                .message("no answer within the time limit")
+                .outcome(Outcome.UNKNOWN)
+                .build());
+    }
+
+    private void callerLeft() {
+        if (finished) {
+            return;
+        }
+        cancelExchange();
+        endAttempt();
+        finish(ErrorKind.CANCELLED.httpStatus(), "caller left");
+    }
+
+    /** Ends the request with a failure of the gateway, or cuts an answer that has begun. */
+    private void giveUp(Failure failure) {
+        if (finished) {
+            return;
+        }
+        if (relay.hasStarted()) {
+            sink.abort();
+            finish(ErrorKind.TARGET_FAILED.httpStatus(), "stream cut: " + failure.message());
+            return;
+        }
+        Failure told = failure;
+        if (mayHaveRun && failure.outcome() == Outcome.NOT_RUN) {
+            told = broken(failure.message());
+        }
+        Answers.send(context.dialect(), sink, told, state.remainingMillis(System.nanoTime()));
+        finish(told.kind().httpStatus(), told.message());
+    }
+
+    private static Failure broken(String message) {
+        return Failure.of(ErrorKind.TARGET_FAILED)
+                .message(message)
+                .outcome(Outcome.UNKNOWN)
+                .build();
+    }
+
+    private void cancelExchange() {
+        if (exchange != null) {
+            exchange.cancel();
+            exchange = null;
+        }
+    }
+
+    private void endAttempt() {
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+            stallTimer = null;
+        }
+        if (assignment != null) {
+            assignment.end();
+        }
+        if (answer != null) {
+            answer.ignore();
+            answer = null;
+        }
+    }
+
+    private void armStall(double millis) {
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+        }
+        stallTimer = state.route().mayRepeat()
+                ? context.loop().schedule(this::stalled, (long) millis, TimeUnit.MILLISECONDS)
+                : null;
+    }
+
+    private void finish(int status, String reason) {
+        finished = true;
+        endAttempt();
+        if (limitTimer != null) {
+            limitTimer.cancel(false);
+        }
+        double total = state.elapsedMillis(System.nanoTime());
+        context.metrics().answered(state.account(), state.service().name().value(), status, firstMillis, total);
+        context.log()
+                .event("request.done")
+                .with("request", state.caller().id())
+                .with("route", state.route().name())
+                .with(
+                        "account",
+                        state.account().map(account -> account.id().value()).orElse("none"))
+                .with("status", status)
+                .with("reason", reason)
+                .with("attempts", attempts)
+                .with(
+                        "target",
+                        assignment == null
+                                ? "none"
+                                : assignment.target().instance().id())
+                .with("helpers", assignment == null ? 0 : assignment.helpers().size())
+                .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
+                .with("first_ms", (long) firstMillis)
+                .with("total_ms", (long) total)
+                .with("state_version", context.catalog().read().version())
+                .with("state_age_ms", context.catalogAge().getAsLong())
+                .write();
+        whenFinished.run();
+    }
+
+    private void logAttempt(String event, String reason) {
+        context.metrics().count(event.replace('.', '_'));
+        context.log()
+                .event(event)
+                .with("request", state.caller().id())
+                .with("target", assignment.target().instance().id())
+                .with("helpers", assignment.helpers().size())
+                .with("attempt", attempts)
+                .with("reason", reason)
+                .with("elapsed_ms", (long) state.elapsedMillis(System.nanoTime()))
+                .with("predicted_ms", (long) assignment.predictedMillis())
+                .write();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
@@ -0,0 +1,218 @@
+package io.endiveshed.gateway.internal;
+
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.cell.Cell;
+import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.retry.AttemptBudget;
+import io.endiveshed.coordination.service.AccessPolicy;
+import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.coordination.service.ServiceCatalog;
+import io.endiveshed.coordination.service.TargetInstance;
+import io.endiveshed.gateway.EntryRecord;
+import io.endiveshed.gateway.GatewaySettings;
+import io.endiveshed.gateway.PlatformFeeds;
+import io.endiveshed.gateway.RequestDialect;
+import io.endiveshed.net.http.HttpClientOptions;
+import io.endiveshed.net.http.HttpHandler;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** The parts of a gateway and how they are joined. All state is confined to one event loop. */
+public final class GatewayParts {
+    /** Wait of a watch on the desired state; it bounds the age of what is known, which {@link #KEY_MARGIN} relies on. */
+    private static final Duration CATALOG_WATCH = Duration.ofSeconds(1);
+
+    /** Wait of a watch on the targets; a leaving target must be known within two seconds, also on a silent connection. */
+    private static final Duration TARGETS_WATCH = Duration.ofMillis(1_200);
+
+    /** Wait of a watch on the entries, which change rarely. */
+    private static final Duration ENTRIES_WATCH = Duration.ofSeconds(10);
+
+    /** Time between the last check of a key and the start of the request at its target, with room for a slow instance. */
+    private static final Duration KEY_MARGIN = Duration.ofMillis(500);
+
+    /** Added to the time in which a desired state must be in force, before an unknown route is not rejected. */
+    private static final Duration REJECT_MARGIN = Duration.ofMillis(500);
+
+    /** Interval of the notices by which other entries know that this one lives. */
+    private static final Duration BEAT = Duration.ofMillis(500);
+
+    /** Time to open a connection to a target; a lost packet costs a second, and another target is tried sooner. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(350);
+
+    /** Idle time after which a connection to a target is not used again. */
+    private static final Duration CONNECTION_IDLE = Duration.ofSeconds(4);
+
+    /** Margin to the idle limit that a target announces in whole seconds. */
+    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(1_500);
+
+    /** Part of the retry budget that is used; the rest covers what entries cannot tell each other in time. */
+    private static final double BUDGET_USE = 0.7;
+
+    /** Part of the retry allowance that is used; a decaying sum lets up to 1.6 times of it pass in a sliding window. */
+    private static final double ALLOWANCE_USE = 0.4;
+
+    /** Least number of entries among which the allowance is divided, while the others are not known yet. */
+    private static final int MIN_ENTRIES = 4;
+
+    private final GatewaySettings settings;
+    private final EventLog log;
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = loops.next();
+    private final Cell<ServiceCatalog> catalog = new Cell<>(ServiceCatalog.NONE);
+    private final Targets targets;
+    private final EngineWorks works;
+    private final PeerExchange peers;
+    private final AccessPolicy access;
+    private final RequestForwarder forwarder;
+    private final FeedFollower<ServiceCatalog> catalogFollower;
+    private final FeedFollower<TargetInstance> targetsFollower;
+    private final FeedFollower<EntryRecord> entriesFollower;
+    private final Map<ServiceName, AttemptBudget> budgets = new HashMap<>();
+    private final EntryRecord self;
+    private final PlatformFeeds feeds;
+    private volatile boolean leaving;
+
+    /** Joins the parts. */
+    public GatewayParts(
+            GatewaySettings settings,
+            RequestDialect dialect,
+            Function<EventLoopGroup, PlatformFeeds> feedFactory,
+            MetricRegistry registry,
+            EventLog log) {
+        this.settings = settings;
+        this.log = log;
+        this.feeds = feedFactory.apply(loops);
+        this.self = new EntryRecord(
+                settings.instance(),
+                new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
+                System.currentTimeMillis());
+        this.targets =
+                new Targets(loops, new HttpClientOptions(CONNECT_TIMEOUT, CONNECTION_IDLE, KEEP_ALIVE_MARGIN), log);
+        this.works = new EngineWorks(targets);
+        this.peers = new PeerExchange(
+                new PeerCodec.PeerId(self.instance(), self.startedMillis()), settings.peers(), loops, log, works);
+        this.access = new AccessPolicy(
+                settings.bounds().revocation().minus(KEY_MARGIN),
+                settings.bounds().configurationApply().plus(REJECT_MARGIN));
+        this.catalogFollower =
+                follower("desired state", feeds.catalog(), CATALOG_WATCH, new CatalogListener(catalog, log));
+        this.targetsFollower = follower("targets", feeds.targets(), TARGETS_WATCH, targets);
+        this.entriesFollower = follower("entries", feeds.entries(), ENTRIES_WATCH, peers);
+        this.forwarder = new RequestForwarder(new GatewayContext(
+                loop,
+                dialect,
+                catalog,
+                catalogFollower::ageMillis,
+                access,
+                new EngineChoice(targets, settings.domain(), works, peers),
+                new PlainChoice(targets, settings.domain()),
+                this::budget,
+                new GatewayMetrics(registry),
+                log));
+    }
+
+    /** Returns the event loops. */
+    public EventLoopGroup loops() {
+        return loops;
+    }
+
+    /** Returns the handler of callers' requests. */
+    public HttpHandler forwarder() {
+        return forwarder;
+    }
+
+    /** Starts to follow the store and to speak to other entries. */
+    public void start() {
+        peers.start();
+        catalogFollower.start();
+        targetsFollower.start();
+        entriesFollower.start();
+        register();
+        loop.scheduleAtFixedRate(this::beat, BEAT.toMillis(), BEAT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends all. */
+    public void stop() {
+        catalogFollower.stop();
+        targetsFollower.stop();
+        entriesFollower.stop();
+        peers.stop();
+        loops.shutdownGracefully(0, BEAT.toMillis(), TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Tells whether callers should come here: requests can be decided and there is a target for them. */
+    public boolean isReady() {
+        return !leaving
+                && catalog.read().isKnown()
+                && !targets.isEmpty()
+                && !(catalog.read().keysRequired() && access.isTooOldForKeys(catalogFollower.ageMillis()));
+    }
+
+    /** Stops being ready. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Refuses new requests. */
+    public void refuseNew() {
+        loop.execute(forwarder::refuseNew);
+    }
+
+    /** Returns the number of requests without a final answer. */
+    public int openRequests() {
+        return forwarder.open();
+    }
+
+    private void beat() {
+        peers.beat();
+        targets.expire();
+        works.expire();
+    }
+
+    private void register() {
+        feeds.entries()
+                .register(self)
+                .thenAccept(result -> loop.execute(() -> {
+                    if (result.isRight()) {
+                        log.event("entry.registered")
+                                .with("peers", self.peers())
+                                .write();
+                    } else {
+                        loop.schedule(this::register, BEAT.toMillis(), TimeUnit.MILLISECONDS);
+                    }
+                }));
+    }
+
+    private AttemptBudget budget(ServiceName service) {
+        return budgets.computeIfAbsent(service, name -> {
+            GatewaySettings.Bounds bounds = settings.bounds();
+            int entries = Math.max(MIN_ENTRIES, peers.listedEntries());
+            return new AttemptBudget(
+                    bounds.retryShare() * BUDGET_USE,
+                    bounds.retryAllowance() * ALLOWANCE_USE / entries,
+                    System::nanoTime);
+        });
+    }
+
+    private <T> FeedFollower<T> follower(
+            String name,
+            io.endiveshed.ports.platform.ObjectFeed<T> feed,
+            Duration wait,
+            FeedFollower.Listener<T> listener) {
+        return new FeedFollower<>(name, feed, wait, loop, GatewayParts::readClocks, log, listener);
+    }
+
+    private static ClockReading readClocks() {
+        return new ClockReading(System.nanoTime(), System.currentTimeMillis());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetChoice.java
@@ -0,0 +1,18 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.error.Failure;
+import io.vavr.control.Either;
+import java.util.Set;
+
+/** Chooses the target of an attempt. */
+interface TargetChoice {
+    /**
+     * Chooses a target.
+     *
+     * @param request the request
+     * @param excluded targets that have failed the request
+     * @param nowNanos the present
+     * @return the choice; on the left is the refusal
+     */
+    Either<Failure, Assignment> choose(RequestState request, Set<TargetRuntime> excluded, long nowNanos);
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
@@ -0,0 +1,33 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.id.InstanceId;
+import java.util.List;
+
+/**
+ * What an entry tells the others of a prompt that it has placed. Times are relative to the sending, as entries have no
+ * common clock.
+ *
+ * @param number number that the sender gave
+ * @param targets engines; the first writes the answer, the others help to read
+ * @param readMillis time in milliseconds for which each of them reads
+ * @param firstEventMillis predicted time until the first event, in milliseconds
+ * @param endMillis predicted time until the last event, in milliseconds
+ * @param firstEventLimitMillis time until the first event is late, in milliseconds
+ * @param maxPauseMillis longest pause between events that is on time, in milliseconds
+ * @param weight importance of the request
+ * @param memoryTokens tokens that the first engine holds in memory
+ */
+record WorkNotice(
+        long number,
+        List<InstanceId> targets,
+        double readMillis,
+        double firstEventMillis,
+        double endMillis,
+        double firstEventLimitMillis,
+        double maxPauseMillis,
+        double weight,
+        long memoryTokens) {
+    WorkNotice {
+        targets = List.copyOf(targets);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Implementation of the gateway. */
+package io.endiveshed.gateway.internal;
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Entry that forwards HTTP requests to targets which have no sidecar. */
+package io.endiveshed.gateway;
--- a/net/src/main/java/io/endiveshed/net/platform/internal/PlatformCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -1,9 +1,6 @@
-package io.endiveshed.net.platform.internal;
+package io.endiveshed.net.http;
 
 import io.endiveshed.base.time.Scheduler;
-import io.endiveshed.net.http.HttpClient;
-import io.endiveshed.net.http.HttpExchange;
-import io.endiveshed.net.http.HttpResponseListener;
 import io.endiveshed.protocol.Header;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
@@ -14,8 +11,8 @@
 import java.util.function.Function;
 import org.tinylog.Logger;
 
-/** One HTTP call to the platform; completes with the value, or with a status that says why there is none. */
-public final class PlatformCall<T> implements HttpResponseListener {
+/** One HTTP call; completes with the value, or with a status that says why there is none. */
+public final class HttpCall<T> implements HttpResponseListener {
     /** Status of an object that does not exist. */
     public static final int NOT_FOUND = 404;
 
@@ -28,7 +25,8 @@
     /** Longest answer in bytes; a list of configuration pieces at the size of two years from now has 6 MB. */
     private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
-    private static final int OK = 200;
+    private static final int SUCCESS_CLASS = 2;
+    private static final int CLASS_SIZE = 100;
 
     private final Function<byte[], T> reader;
     private final CompletableFuture<Either<Integer, T>> result = new CompletableFuture<>();
@@ -36,7 +34,7 @@
     private int status;
 
     /** Makes a call whose answer the function reads. */
-    public PlatformCall(Function<byte[], T> reader) {
+    public HttpCall(Function<byte[], T> reader) {
         this.reader = reader;
     }
 
@@ -74,7 +72,7 @@
 
     @Override
     public void ended() {
-        result.complete(status == OK ? read() : Either.left(status));
+        result.complete(status / CLASS_SIZE == SUCCESS_CLASS ? read() : Either.left(status));
     }
 
     @Override
@@ -86,7 +84,7 @@
         try {
             return Either.right(reader.apply(body.toByteArray()));
         } catch (RuntimeException e) {
-            Logger.warn("the platform's answer has another form than expected: {}", e.getMessage());
+            Logger.warn("an answer has another form than expected: {}", e.getMessage());
             return Either.left(BROKEN);
         }
     }
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -3,8 +3,6 @@
 import io.endiveshed.net.http.internal.ClientConnection;
 import io.endiveshed.protocol.Header;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.pool.SimpleChannelPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -12,29 +10,50 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** One call of an {@link HttpClient}. Safe for use by several threads. */
 public final class HttpExchange implements TargetExchange {
-    private final SimpleChannelPool pool;
+    private final HttpClient client;
     private final HttpResponseListener listener;
-    private Channel channel;
+    private final Predicate<List<Header>> isOwn;
+    private final String method;
+    private final String path;
+    private final String host;
+    private final List<Header> headers;
+    private final byte[] body;
+    private ClientConnection connection;
     private boolean cancelled;
     private boolean paused;
 
-    HttpExchange(SimpleChannelPool pool, HttpResponseListener listener) {
-        this.pool = pool;
+    HttpExchange(
+            HttpClient client,
+            HttpResponseListener listener,
+            Predicate<List<Header>> isOwn,
+            String method,
+            String path,
+            String host,
+            List<Header> headers,
+            byte[] body) {
+        this.client = client;
         this.listener = listener;
+        this.isOwn = isOwn;
+        this.method = method;
+        this.path = path;
+        this.host = host;
+        this.headers = headers;
+        this.body = body;
     }
 
     @Override
     public void cancel() {
-        Channel current;
+        ClientConnection current;
         synchronized (this) {
             cancelled = true;
-            current = channel;
+            current = connection;
         }
         if (current != null) {
-            current.eventLoop().execute(() -> closeIfStillOurs(current));
+            current.execute(() -> closeIfStillOurs(current));
         }
     }
 
@@ -42,51 +61,69 @@
     public void pause(boolean value) {
         synchronized (this) {
             paused = value;
-            if (channel != null) {
-                channel.config().setAutoRead(!value);
+            if (connection != null) {
+                connection.readAutomatically(!value);
             }
         }
     }
 
-    void begin(Channel acquired, String method, String path, String host, List<Header> headers, byte[] body) {
+    void begin(ClientConnection acquired) {
+        acquired.execute(() -> send(acquired));
+    }
+
+    void cannotConnect(String message) {
+        listener.failed(false, message);
+    }
+
+    private void send(ClientConnection acquired) {
+        if (!acquired.isUsable()) {
+            acquired.close();
+            client.acquire(this);
+            return;
+        }
         synchronized (this) {
             if (!cancelled) {
-                channel = acquired;
-                acquired.config().setAutoRead(!paused);
+                connection = acquired;
+                acquired.readAutomatically(!paused);
             }
         }
-        if (channel == null) {
-            pool.release(acquired);
+        if (connection == null) {
+            client.release(acquired);
             listener.failed(false, "cancelled before it was sent");
             return;
         }
-        ClientConnection connection = acquired.pipeline().get(ClientConnection.class);
-        acquired.eventLoop().execute(() -> {
-            connection.begin(listener, () -> release(acquired));
-            acquired.writeAndFlush(request(method, path, host, headers, body));
-        });
+        acquired.begin(listener, isOwn, reusable -> release(acquired, reusable));
+        acquired.write(request());
     }
 
-    private void release(Channel finished) {
+    private void release(ClientConnection finished, boolean reusable) {
         synchronized (this) {
-            channel = null;
+            connection = null;
+        }
+        finished.readAutomatically(true);
+        if (reusable) {
+            client.release(finished);
+        } else {
+            finished.close();
         }
-        finished.config().setAutoRead(true);
-        pool.release(finished);
     }
 
-    private synchronized void closeIfStillOurs(Channel current) {
-        if (channel == current) {
+    private synchronized void closeIfStillOurs(ClientConnection current) {
+        if (connection == current) {
             current.close();
         }
     }
 
-    private static FullHttpRequest request(String method, String path, String host, List<Header> headers, byte[] body) {
+    private FullHttpRequest request() {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, Unpooled.wrappedBuffer(body));
         headers.forEach(header -> request.headers().add(header.name(), header.value()));
-        request.headers().set(HttpHeaderNames.HOST, host);
-        HttpUtil.setContentLength(request, body.length);
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers().set(HttpHeaderNames.HOST, host);
+        }
+        if (body.length > 0 || !method.equals("GET")) {
+            HttpUtil.setContentLength(request, body.length);
+        }
         return request;
     }
 }
--- a/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
+++ b/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
@@ -1,8 +1,8 @@
 package io.endiveshed.net.platform;
 
 import io.endiveshed.base.time.Scheduler;
+import io.endiveshed.net.http.HttpCall;
 import io.endiveshed.net.http.HttpClient;
-import io.endiveshed.net.platform.internal.PlatformCall;
 import io.endiveshed.ports.platform.InstanceList;
 import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.ports.platform.ObjectKey;
@@ -50,9 +50,7 @@
                         callTimeout,
                         body -> Optional.of(PlatformJson.readObject(body)))
                 .thenApply(result -> result.fold(
-                        status -> status == PlatformCall.NOT_FOUND
-                                ? Either.right(Optional.empty())
-                                : error(status, false),
+                        status -> status == HttpCall.NOT_FOUND ? Either.right(Optional.empty()) : error(status, false),
                         Either::right));
     }
 
@@ -94,11 +92,11 @@
     }
 
     private <T> CompletionStage<Either<Integer, T>> read(String path, Duration timeout, Function<byte[], T> reader) {
-        return new PlatformCall<>(reader).send(client, scheduler, timeout, "GET", path, List.of(), NO_BODY);
+        return new HttpCall<>(reader).send(client, scheduler, timeout, "GET", path, List.of(), NO_BODY);
     }
 
     private CompletionStage<Either<StoreError, ObjectVersion>> put(ObjectKey key, Header condition, byte[] value) {
-        return new PlatformCall<>(PlatformJson::readVersion)
+        return new HttpCall<>(PlatformJson::readVersion)
                 .send(
                         client,
                         scheduler,
@@ -120,7 +118,7 @@
                     case 412 -> StoreError.CONFLICT;
                     case 410 -> StoreError.TOO_OLD;
                     case 413 -> StoreError.TOO_LARGE;
-                    case PlatformCall.NOT_SENT, PlatformCall.NOT_FOUND, 400, 429, 503 -> StoreError.UNAVAILABLE;
+                    case HttpCall.NOT_SENT, HttpCall.NOT_FOUND, 400, 429, 503 -> StoreError.UNAVAILABLE;
                     default -> write ? StoreError.UNKNOWN : StoreError.UNAVAILABLE;
                 });
     }
