--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -26,10 +26,10 @@
     private static final double LATE_LOSS = 0.75;
 
     /** Width of the uncertainty of a predicted first event, as a share of its objective. */
-    private static final double FIRST_EVENT_SPREAD = 0.07;
+    private static final double FIRST_EVENT_SPREAD = 0.10;
 
     /** Width of the uncertainty of a predicted pause, as a share of its limit. */
-    private static final double PAUSE_SPREAD = 0.06;
+    private static final double PAUSE_SPREAD = 0.10;
 
     /** Part of a limit that is kept free for delays of the network and of processes. */
     private static final double MARGIN = 0.06;
@@ -37,8 +37,11 @@
     /** Prompts whose streams allow no longer pause are packed; this divides short from long prompts. */
     private static final double SHORT_PAUSE_MILLIS = 400;
 
-    /** Cost of a short stream on an engine that has none, as a share of its weight: the engine is lost to long prompts. */
-    private static final double OPENING_COST = 0.10;
+    /**
+     * Cost of a short stream on an engine that has none, as a share of its weight, for each unit of the engines' time
+     * that long prompts take: the engine is lost to them for as long as the stream lasts.
+     */
+    private static final double OPENING_COST = 0.35;
 
     /** Cost of the last place in the common order against the first, as a share of the prompt's weight. */
     private static final double ORDER_COST = 0.04;
@@ -52,8 +55,14 @@
     /** Part of an engine's memory that may be planned; the rest is for outputs longer than expected. */
     private static final double MEMORY_SHARE = 0.95;
 
+    /** Part of an engine's memory up to which a prompt is held by one engine, as dividing it needs reservations. */
+    private static final double WHOLE_MEMORY_SHARE = 0.9;
+
+    /** Part of an engine's memory that one part of a divided prompt takes at most. */
+    private static final double PART_MEMORY_SHARE = 0.6;
+
     /** Slots of an engine that are kept free for requests placed at the same moment by other entries. */
-    private static final int SPARE_SLOTS = 0;
+    private static final int SPARE_SLOTS = 2;
 
     /** Part of the time until a caller gives up that a prediction may use. */
     private static final double ABANDON_SHARE = 0.9;
@@ -61,37 +70,58 @@
     /** Least wait that a refused caller is told, in milliseconds. */
     private static final long MIN_RETRY_MILLIS = 100;
 
+    /** Probability that a read falls into the pass of another one that has not been followed by an event yet. */
+    private static final double SHARED_PASS = 0.6;
+
+    /** Time in milliseconds after which a lost packet is sent again; it is added to the pause between two events. */
+    private static final double RETRANSMIT_MILLIS = 200;
+
+    /** Probability that a stream loses a packet on its way, at a loss of 1 to 2 in 1,000 on each of two links. */
+    private static final double LOSS_PROBABILITY = 0.1;
+
+    /** Width of the uncertainty of a pause after a lost packet, in milliseconds. */
+    private static final double RETRANSMIT_SPREAD_MILLIS = 2;
+
+    /** Cost of a millisecond of distance, as a share of the weight: bytes between failure domains and their jitter. */
+    private static final double DISTANCE_COST = 0.004;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Tells whether prompts whose streams may pause for the given time are treated as long. */
+    public static boolean isLong(double maxPauseMillis) {
+        return maxPauseMillis > SHORT_PAUSE_MILLIS;
+    }
+
     /**
      * Places a prompt.
      *
      * @param profile cost model of the engines
      * @param request the prompt
      * @param candidates engines in the common order; not empty
+     * @param longShare share of the engines' time that long prompts take, see {@link LongReadDemand#share}
      * @param nowNanos the present
      * @return the placement; on the left, after how many milliseconds a refused caller may ask again
      */
     public Either<Long, Placement> place(
-            EngineProfile profile, PromptRequest request, List<EngineCandidate> candidates, long nowNanos) {
-        long tokens = request.promptTokens();
-        double wholeRead = profile.readMillis(tokens);
-        List<Option> options = new ArrayList<>(candidates.size());
+            EngineProfile profile,
+            PromptRequest request,
+            List<EngineCandidate> candidates,
+            double longShare,
+            long nowNanos) {
+        double wholeRead = profile.readMillis(request.promptTokens());
+        int most = mostEngines(profile, request, wholeRead, candidates.size());
         Placement best = null;
         long freeInMillis = Long.MAX_VALUE;
-        int most = mostEngines(profile, request, wholeRead, candidates.size());
-        for (int engines = 1; engines <= most; engines++) {
-            options.clear();
-            double read = wholeRead / engines;
-            double inPass = profile.readMillisInOnePass(tokens / engines, read);
-            for (int i = 0; i < candidates.size(); i++) {
-                Option option = option(profile, request, candidates, i, read, inPass, nowNanos);
-                options.add(option);
-                freeInMillis = Math.min(freeInMillis, (long) option.waitMillis);
-            }
-            Placement placement = best(profile, request, options, engines, read);
-            if (placement != null && (best == null || placement.cost() < best.cost())) {
-                best = placement;
+        for (int parts = leastParts(profile, request); parts <= most && best == null; parts++) {
+            for (int engines = parts; engines <= most; engines++) {
+                List<Option> options = options(profile, request, candidates, engines, longShare, nowNanos);
+                for (Option option : options) {
+                    freeInMillis = Math.min(freeInMillis, (long) option.waitMillis);
+                }
+                Placement placement = best(profile, request, options, engines, parts, wholeRead / engines);
+                if (placement != null && (best == null || placement.cost() < best.cost())) {
+                    best = placement;
+                }
             }
         }
         if (best == null || best.firstEventMillis() > request.abandonMillis() * ABANDON_SHARE) {
@@ -100,42 +130,77 @@
         return Either.right(best);
     }
 
+    /** Returns among how many engines the memory of a prompt must be divided; each part leaves room for other work. */
+    private static int leastParts(EngineProfile profile, PromptRequest request) {
+        long tokens = request.promptTokens() + request.outputTokens();
+        if (tokens <= profile.memoryTokens() * WHOLE_MEMORY_SHARE) {
+            return 1;
+        }
+        return (int) Math.ceil(tokens / (profile.memoryTokens() * PART_MEMORY_SHARE));
+    }
+
+    private List<Option> options(
+            EngineProfile profile,
+            PromptRequest request,
+            List<EngineCandidate> candidates,
+            int engines,
+            double longShare,
+            long nowNanos) {
+        long tokens = request.promptTokens();
+        double read = profile.readMillis(tokens) / engines;
+        double inPass = profile.readMillisInOnePass(tokens / engines, read);
+        List<Option> options = new ArrayList<>(candidates.size());
+        for (int i = 0; i < candidates.size(); i++) {
+            options.add(option(profile, request, candidates, i, read, inPass, longShare, nowNanos));
+        }
+        options.sort(Comparator.comparingDouble(option -> option.cost));
+        return options;
+    }
+
     private static int mostEngines(EngineProfile profile, PromptRequest request, double wholeRead, int candidates) {
-        if (wholeRead <= profile.passMillis(1) * 2 || request.maxPauseMillis() <= SHORT_PAUSE_MILLIS) {
+        if (wholeRead <= profile.passMillis(1) * 2 || !isLong(request.maxPauseMillis())) {
             return 1;
         }
         return Math.min(candidates, MAX_HELPERS + 1);
     }
 
-    private Placement best(
-            EngineProfile profile, PromptRequest request, List<Option> options, int engines, double read) {
-        options.sort(Comparator.comparingDouble(option -> option.cost));
-        Option first = firstWithSlot(options);
+    private static Placement best(
+            EngineProfile profile, PromptRequest request, List<Option> options, int engines, int parts, double read) {
+        long partTokens = (request.promptTokens() + parts - 1) / parts;
+        Option first = firstWithRoom(options, partTokens + request.outputTokens());
         if (first == null) {
             return null;
         }
         double cost = first.cost;
         double ready = first.readyMillis;
-        List<EngineCandidate> helpers = new ArrayList<>(engines - 1);
-        for (int i = 0; helpers.size() < engines - 1; i++) {
+        List<EngineCandidate> holders = new ArrayList<>(parts - 1);
+        List<EngineCandidate> readers = new ArrayList<>(engines - 1);
+        for (int i = 0; i < options.size() && holders.size() + readers.size() < engines - 1; i++) {
             Option option = options.get(i);
-            if (option == first) {
+            boolean holds = holders.size() < parts - 1 && option.freeTokens >= partTokens;
+            boolean reads = readers.size() < engines - parts;
+            if (option == first || !(holds || reads)) {
                 continue;
             }
-            helpers.add(option.candidate);
+            (holds ? holders : readers).add(option.candidate);
             cost += option.cost;
             ready = Math.max(ready, option.readyMillis);
         }
+        if (holders.size() < parts - 1 || readers.size() < engines - parts) {
+            return null;
+        }
+        int holderCount = holders.size();
+        holders.addAll(readers);
         double hop = engines > 1 ? profile.hopMillis() * profile.stride() : 0;
         double firstEvent = ready + profile.passMillis(first.writers + 1) + hop + 2 * first.candidate.distanceMillis();
         double late = lateness(firstEvent, request.firstEventMillis());
         cost += request.weight() * (LATE_LOSS * late + HELPER_COST * (engines - 1));
-        return new Placement(first.candidate, helpers, read, firstEvent, cost);
+        return new Placement(first.candidate, holders, holderCount, partTokens, read, firstEvent, cost);
     }
 
-    private static Option firstWithSlot(List<Option> options) {
+    private static Option firstWithRoom(List<Option> options, long tokens) {
         for (Option option : options) {
-            if (option.hasSlot) {
+            if (option.hasSlot && option.freeTokens >= tokens) {
                 return option;
             }
         }
@@ -149,6 +214,7 @@
             int index,
             double read,
             double inPass,
+            double longShare,
             long nowNanos) {
         EngineCandidate candidate = candidates.get(index);
         EngineLoad load = candidate.load();
@@ -157,25 +223,31 @@
         double wait = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
         option.waitMillis = wait;
         option.writers = load.writers();
-        option.hasSlot = option.writers + SPARE_SLOTS < Math.min(profile.slots(), candidate.slots())
-                && load.memoryTokens() + request.promptTokens() <= profile.memoryTokens() * MEMORY_SHARE;
-        double pass = profile.passMillis(option.writers) * pace;
-        // A read starts with the next pass; half of the current one is left on average.
-        double startup = option.writers > 0 ? pass / 2 : 0;
+        long context = load.memoryTokens();
+        option.hasSlot = option.writers + SPARE_SLOTS < Math.min(profile.slots(), candidate.slots());
+        option.freeTokens = (long) (profile.memoryTokens() * MEMORY_SHARE) - context;
+        double pass = profile.passMillis(option.writers, context) * pace;
+        double longerPass = profile.passMillis(option.writers + 1, context + request.promptTokens()) * pace;
+        // A read starts with the next pass, and other reads often lengthen the current one.
+        double startup = option.writers > 0 ? pass : 0;
         option.readyMillis = wait + startup + read * pace;
-        boolean isShort = request.maxPauseMillis() <= SHORT_PAUSE_MILLIS;
+        boolean isShort = !isLong(request.maxPauseMillis());
         double cost = 0;
         boolean packed = false;
         for (EngineWork work : load.works()) {
             if (!work.isWriter()) {
                 continue;
             }
-            packed |= work.maxPauseMillis() <= SHORT_PAUSE_MILLIS;
+            packed |= !isLong(work.maxPauseMillis());
             cost += harm(work, pass, wait, inPass * pace, nowNanos);
+            cost += work.weight()
+                    * (retransmitLoss(longerPass, work.maxPauseMillis()) - retransmitLoss(pass, work.maxPauseMillis()));
         }
         double weight = request.weight();
+        cost += weight * retransmitLoss(longerPass, request.maxPauseMillis());
+        cost += weight * DISTANCE_COST * candidate.distanceMillis();
         if (isShort && !packed) {
-            cost += OPENING_COST * weight;
+            cost += OPENING_COST * Math.min(1, longShare) * weight;
         }
         double place = (double) index / candidates.size();
         cost += ORDER_COST * weight * (isShort ? place : 1 - place);
@@ -191,8 +263,8 @@
         double toFirst = (work.firstEventNanos() - nowNanos) / NANOS_PER_MILLI;
         if (toFirst > 0) {
             double left = (work.firstEventLimitNanos() - nowNanos) / NANOS_PER_MILLI;
-            // Reads of equal rank are served in turn, so only reading within the same pass delays this one.
-            double delayed = Math.min(read, pass) / 2;
+            // Reads that share a pass delay each other's first events, which are sent at its end.
+            double delayed = read * SHARED_PASS;
             return loss * Math.max(0, lateness(toFirst + delayed, left) - lateness(toFirst, left));
         }
         if (nowNanos >= work.endNanos()) {
@@ -203,6 +275,12 @@
         return loss * Math.max(0, pauseLateness(pass + wait + read, limit) - before);
     }
 
+    /** Returns the share of a stream's worth that a lost packet costs on average, by the length of its engine's pass. */
+    private static double retransmitLoss(double pass, double maxPause) {
+        double excess = pass + RETRANSMIT_MILLIS - maxPause;
+        return LATE_LOSS * LOSS_PROBABILITY / (1 + Math.exp(-excess / RETRANSMIT_SPREAD_MILLIS));
+    }
+
     private static double lateness(double expected, double limit) {
         double usable = limit * (1 - MARGIN);
         double spread = Math.max(10, Math.abs(limit) * FIRST_EVENT_SPREAD);
@@ -221,6 +299,7 @@
         private double readyMillis;
         private int writers;
         private boolean hasSlot;
+        private long freeTokens;
 
         private Option(EngineCandidate candidate) {
             this.candidate = candidate;
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineProfile.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineProfile.java
@@ -29,6 +29,7 @@
         int stride,
         double hopMillis) {
     private static final double PAIRS_PER_UNIT = 1e6;
+    private static final double TOKENS_PER_UNIT = 1e3;
 
     /** Returns the time in milliseconds for one engine to read a whole prompt. */
     public double readMillis(long tokens) {
@@ -47,6 +48,11 @@
         return stride * (stepMillis + stepMillisPerRequest * writers);
     }
 
+    /** Returns the time in milliseconds of a pass in which requests with the given tokens of context write. */
+    public double passMillis(int writers, long contextTokens) {
+        return passMillis(writers) + stride * stepMillisPerThousandTokens * contextTokens / TOKENS_PER_UNIT;
+    }
+
     /** Returns the time in milliseconds to write tokens, one event for each pass. */
     public double writeMillis(long tokens, int writers) {
         return Math.ceil((double) tokens / stride) * passMillis(writers);
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/Placement.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/Placement.java
@@ -7,14 +7,17 @@
  *
  * @param first engine that gets the request and writes the answer
  * @param helpers engines that read parts of the prompt; empty if the first reads it alone
+ * @param holders number of helpers, from the first one, that also hold a part of the prompt in memory
+ * @param partTokens tokens that the first engine and each holder hold
  * @param readMillis time in milliseconds for which each of them reads
  * @param firstEventMillis predicted time in milliseconds until the first event
  * @param cost what callers lose by it, in the unit of {@link PromptRequest#weight}
  */
 public record Placement(
-        EngineCandidate first, List<EngineCandidate> helpers, double readMillis, double firstEventMillis, double cost) {
-    /** Returns the number of engines. */
-    public int engines() {
-        return 1 + helpers.size();
-    }
-}
+        EngineCandidate first,
+        List<EngineCandidate> helpers,
+        int holders,
+        long partTokens,
+        double readMillis,
+        double firstEventMillis,
+        double cost) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
@@ -39,7 +39,7 @@
     public Gateway(
             GatewaySettings settings,
             RequestDialect dialect,
-            Function<EventLoopGroup, PlatformFeeds> feeds,
+            Function<EventLoopGroup, PlatformPorts> feeds,
             EventLog log) {
         this.settings = settings;
         this.log = log;
--- a/gateway/src/main/java/io/endiveshed/gateway/PlatformFeeds.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/PlatformPorts.java
@@ -5,11 +5,15 @@
 import io.endiveshed.ports.platform.ObjectFeed;
 
 /**
- * What an entry reads from the platform's store.
+ * What an entry uses of the platform.
  *
  * @param catalog desired state; the newest object holds it whole
  * @param targets list of targets
  * @param entries list of entries
+ * @param engineMemory reservations of engines' memory
  */
-public record PlatformFeeds(
-        ObjectFeed<ServiceCatalog> catalog, ObjectFeed<TargetInstance> targets, EntryRegistry entries) {}
+public record PlatformPorts(
+        ObjectFeed<ServiceCatalog> catalog,
+        ObjectFeed<TargetInstance> targets,
+        EntryRegistry entries,
+        EngineMemory engineMemory) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -2,9 +2,13 @@
 
 import io.endiveshed.gateway.TargetOptions;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** A target that was chosen for one attempt, until the attempt ends. Confined to one event loop. */
 interface Assignment {
+    /** Takes what the attempt needs beside its target, and tells whether it was to be had. */
+    void prepare(Consumer<Boolean> whenReady);
+
     /** Returns the target. */
     TargetRuntime target();
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
@@ -4,13 +4,17 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.engine.EngineCandidate;
 import io.endiveshed.coordination.engine.EnginePlacer;
 import io.endiveshed.coordination.engine.EngineProfile;
 import io.endiveshed.coordination.engine.Placement;
 import io.endiveshed.coordination.engine.PromptRequest;
 import io.endiveshed.gateway.CallerRequest.PromptSize;
+import io.endiveshed.gateway.EngineMemory;
+import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.TargetOptions;
+import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,6 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Chooses the engines of a prompt by {@link EnginePlacer}, and tells the other entries. */
 final class EngineChoice implements TargetChoice {
@@ -34,32 +39,46 @@
     private final FailureDomain domain;
     private final EngineWorks works;
     private final PeerExchange peers;
+    private final EngineMemory memory;
+    private final EventLoop loop;
+    private final EventLog log;
+    private final String entry;
     private final EnginePlacer placer = new EnginePlacer();
     private long lastNumber;
 
-    EngineChoice(Targets targets, FailureDomain domain, EngineWorks works, PeerExchange peers) {
+    EngineChoice(
+            EntryRecord self,
+            FailureDomain domain,
+            Targets targets,
+            EngineWorks works,
+            PeerExchange peers,
+            EngineMemory memory,
+            EventLoop loop,
+            EventLog log) {
         this.targets = targets;
         this.domain = domain;
         this.works = works;
         this.peers = peers;
+        this.memory = memory;
+        this.loop = loop;
+        this.log = log;
+        // Names of reservations must differ between entries and between the starts of one entry.
+        this.entry = self.instance() + "-" + Long.toString(self.startedMillis(), Character.MAX_RADIX);
     }
 
     @Override
     public Either<Failure, Assignment> choose(RequestState request, Set<TargetRuntime> excluded, long nowNanos) {
         EngineProfile profile = request.service().engine().orElseThrow();
         PromptRequest prompt = prompt(request, nowNanos);
-        if (prompt.promptTokens() > profile.memoryTokens()) {
-            return refuse("prompt of " + prompt.promptTokens() + " tokens exceeds an engine's memory", Duration.ZERO);
-        }
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
             return refuse("no usable engine of " + request.service().name(), NO_ENGINE_RETRY);
         }
-        return placer.place(profile, prompt, candidates, nowNanos)
+        return placer.place(profile, prompt, candidates, works.longReadShare(candidates.size()), nowNanos)
                 .fold(
                         wait -> refuse("all engines are busy", Duration.ofMillis(wait)),
-                        placement -> Either.right(assign(profile, prompt, placement, runtimes, nowNanos)));
+                        placement -> Either.right(assign(request, profile, prompt, placement, runtimes, nowNanos)));
     }
 
     private List<EngineCandidate> candidates(
@@ -96,6 +115,7 @@
     }
 
     private Assignment assign(
+            RequestState request,
             EngineProfile profile,
             PromptRequest prompt,
             Placement placement,
@@ -105,9 +125,17 @@
         List<InstanceId> ids = new ArrayList<>();
         List<TargetOptions.Helper> helpers = new ArrayList<>();
         ids.add(placement.first().id());
+        List<Reservations.Part> parts = new ArrayList<>();
         for (EngineCandidate helper : placement.helpers()) {
+            TargetRuntime runtime = runtimes.get(helper);
+            Optional<String> reservation = Optional.empty();
+            if (parts.size() < placement.holders()) {
+                String id = entry + "-" + lastNumber + "-" + parts.size();
+                reservation = Optional.of(id);
+                parts.add(new Reservations.Part(runtime, id, placement.partTokens()));
+            }
             ids.add(helper.id());
-            helpers.add(new TargetOptions.Helper(runtimes.get(helper).instance().endpoint(), Optional.empty()));
+            helpers.add(new TargetOptions.Helper(runtime.instance().endpoint(), reservation));
         }
         double write = profile.writeMillis(
                 prompt.outputTokens(), placement.first().load().writers() + 1);
@@ -120,12 +148,16 @@
                 prompt.firstEventMillis(),
                 prompt.maxPauseMillis(),
                 prompt.weight(),
-                prompt.promptTokens() + prompt.outputTokens());
+                placement.partTokens() + prompt.outputTokens(),
+                placement.holders(),
+                placement.partTokens());
         TargetRuntime target = runtimes.get(placement.first());
         target.began();
         works.started(EngineWorks.SELF, notice);
         peers.started(notice);
-        return new EngineAssignment(target, helpers, notice, nowNanos);
+        Reservations reservations =
+                new Reservations(memory, loop, log, request.caller().id(), parts);
+        return new EngineAssignment(target, helpers, reservations, notice, nowNanos);
     }
 
     private static Either<Failure, Assignment> refuse(String message, Duration retryAfter) {
@@ -139,19 +171,30 @@
     private final class EngineAssignment implements Assignment {
         private final TargetRuntime target;
         private final List<TargetOptions.Helper> helpers;
+        private final Reservations reservations;
         private final WorkNotice notice;
         private final long startedNanos;
         private boolean begun;
         private boolean ended;
 
         EngineAssignment(
-                TargetRuntime target, List<TargetOptions.Helper> helpers, WorkNotice notice, long startedNanos) {
+                TargetRuntime target,
+                List<TargetOptions.Helper> helpers,
+                Reservations reservations,
+                WorkNotice notice,
+                long startedNanos) {
             this.target = target;
             this.helpers = helpers;
+            this.reservations = reservations;
             this.notice = notice;
             this.startedNanos = startedNanos;
         }
 
+        @Override
+        public void prepare(Consumer<Boolean> whenReady) {
+            reservations.reserve(whenReady);
+        }
+
         @Override
         public TargetRuntime target() {
             return target;
@@ -179,6 +222,7 @@
             }
             ended = true;
             target.ended();
+            reservations.end();
             double left = notice.firstEventMillis() - (System.nanoTime() - startedNanos) / 1e6;
             double unread = begun ? 0 : Math.max(0, Math.min(notice.readMillis(), left));
             works.ended(EngineWorks.SELF, notice.number(), unread);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
@@ -1,7 +1,9 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.engine.EnginePlacer;
 import io.endiveshed.coordination.engine.EngineWork;
+import io.endiveshed.coordination.engine.LongReadDemand;
 import java.util.List;
 
 /** Keeps the loads of the engines up to date, from this entry's own work and from the notices of the others. */
@@ -12,15 +14,24 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final Targets targets;
+    private final LongReadDemand longReads = new LongReadDemand(System::nanoTime);
 
     EngineWorks(Targets targets) {
         this.targets = targets;
     }
 
+    /** Returns the share of the engines' time that long prompts take. */
+    double longReadShare(int engines) {
+        return longReads.share(engines);
+    }
+
     @Override
     public void started(int owner, WorkNotice notice) {
         long now = System.nanoTime();
         List<InstanceId> ids = notice.targets();
+        if (EnginePlacer.isLong(notice.maxPauseMillis())) {
+            longReads.add(notice.readMillis() * ids.size());
+        }
         for (int i = 0; i < ids.size(); i++) {
             TargetRuntime target = targets.find(ids.get(i));
             if (target != null) {
@@ -35,7 +46,7 @@
                                         after(now, notice.firstEventLimitMillis()),
                                         notice.maxPauseMillis(),
                                         first ? notice.weight() : 0,
-                                        first ? notice.memoryTokens() : 0),
+                                        memoryTokens(notice, i)),
                                 notice.readMillis() * target.load().pace(),
                                 now);
             }
@@ -59,6 +70,13 @@
         targets.all().forEach(target -> target.load().expire(now));
     }
 
+    private static long memoryTokens(WorkNotice notice, int index) {
+        if (index == 0) {
+            return notice.memoryTokens();
+        }
+        return index <= notice.holders() ? notice.holderTokens() : 0;
+    }
+
     private static long after(long now, double millis) {
         return now + (long) (millis * NANOS_PER_MILLI);
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.coordination.service.RouteKind;
 import io.endiveshed.gateway.AnswerHead;
+import io.endiveshed.gateway.CallerRequest;
 import io.endiveshed.gateway.TargetOptions;
 import io.endiveshed.net.http.HttpExchange;
 import io.endiveshed.net.http.HttpRequestData;
@@ -32,9 +33,18 @@
     /** Connections that may fail for one request; they reach no target and so are no attempts. */
     private static final int MAX_CONNECT_FAILURES = 3;
 
-    /** Time in milliseconds beyond the prediction after which a silent target is given up. */
+    /** Time in milliseconds beyond a short prediction after which a silent target is given up. */
     private static final double MIN_STALL_MILLIS = 800;
 
+    /**
+     * Time in milliseconds beyond a long prediction. An engine itself reports within 1.5 s that a helper is gone, and
+     * giving up a long read that is only slow costs more than waiting for it.
+     */
+    private static final double LONG_STALL_MILLIS = 2_500;
+
+    /** Prediction in milliseconds from which the longer time applies. */
+    private static final double LONG_PREDICTION_MILLIS = 700;
+
     /** Share of the prediction by which a target may exceed it before it is given up. */
     private static final double STALL_SHARE = 0.5;
 
@@ -44,6 +54,12 @@
     /** Allowance in milliseconds for the network in a pause. */
     private static final double STALL_PAUSE_SLACK_MILLIS = 150;
 
+    /** Times that a prompt is placed anew because an engine did not reserve memory for it. */
+    private static final int MAX_PREPARATION_FAILURES = 2;
+
+    /** Wait that a caller is told when no memory was to be had; about the time of one long prompt. */
+    private static final Duration MEMORY_RETRY = Duration.ofSeconds(2);
+
     /** Wait that a caller is told when a target has refused the request. */
     private static final Duration TARGET_FULL_RETRY = Duration.ofMillis(200);
 
@@ -60,6 +76,7 @@
     private ScheduledFuture<?> stallTimer;
     private int attempts;
     private int connectFailures;
+    private int preparationFailures;
     private boolean mayHaveRun;
     private boolean finished;
     private double firstMillis = -1;
@@ -99,11 +116,33 @@
             giveUp(chosen.getLeft());
             return;
         }
-        send(chosen.get(), now);
+        Assignment prepared = chosen.get();
+        assignment = prepared;
+        prepared.prepare(ready -> prepared(prepared, ready));
+    }
+
+    private void prepared(Assignment chosen, boolean ready) {
+        if (finished || chosen != assignment) {
+            chosen.end();
+            return;
+        }
+        if (ready) {
+            send(chosen, System.nanoTime());
+            return;
+        }
+        chosen.end();
+        preparationFailures++;
+        if (preparationFailures <= MAX_PREPARATION_FAILURES) {
+            attempt();
+        } else {
+            giveUp(Failure.of(ErrorKind.OVERLOADED)
+                    .message("engines did not reserve memory for the prompt")
+                    .retryAfter(MEMORY_RETRY)
+                    .build());
+        }
     }
 
     private void send(Assignment chosen, long now) {
-        assignment = chosen;
         attempts++;
         TargetRuntime target = chosen.target();
         HttpRequestData data = state.caller().data();
@@ -130,8 +169,9 @@
                         current,
                         head -> context.dialect().isAnswerTo(state.caller().id(), head));
         relay.exchange(exchange);
-        double stall = chosen.predictedMillis() + Math.max(MIN_STALL_MILLIS, chosen.predictedMillis() * STALL_SHARE);
-        armStall(stall);
+        double predicted = chosen.predictedMillis();
+        double least = predicted < LONG_PREDICTION_MILLIS ? MIN_STALL_MILLIS : LONG_STALL_MILLIS;
+        armStall(predicted + Math.max(least, predicted * STALL_SHARE));
     }
 
     @Override
@@ -279,7 +319,7 @@
         if (finished) {
             return;
         }
-        boolean running = assignment != null || mayHaveRun;
+        boolean running = exchange != null || mayHaveRun;
         cancelExchange();
         endAttempt();
         mayHaveRun |= running;
@@ -379,6 +419,8 @@
                 .with("helpers", assignment == null ? 0 : assignment.helpers().size())
                 .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
                 .with("first_ms", (long) firstMillis)
+                .with("prompt_tokens", promptTokens())
+                .with("max_pause_ms", relay.maxPauseMillis())
                 .with("total_ms", (long) total)
                 .with("state_version", context.catalog().read().version())
                 .with("state_age_ms", context.catalogAge().getAsLong())
@@ -386,6 +428,10 @@
         whenFinished.run();
     }
 
+    private long promptTokens() {
+        return state.caller().prompt().map(CallerRequest.PromptSize::promptTokens).orElse(0L);
+    }
+
     private void logAttempt(String event, String reason) {
         context.metrics().count(event.replace('.', '_'));
         context.log()
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
@@ -12,7 +12,7 @@
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.GatewaySettings;
-import io.endiveshed.gateway.PlatformFeeds;
+import io.endiveshed.gateway.PlatformPorts;
 import io.endiveshed.gateway.RequestDialect;
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpHandler;
@@ -79,14 +79,14 @@
     private final FeedFollower<EntryRecord> entriesFollower;
     private final Map<ServiceName, AttemptBudget> budgets = new HashMap<>();
     private final EntryRecord self;
-    private final PlatformFeeds feeds;
+    private final PlatformPorts feeds;
     private volatile boolean leaving;
 
     /** Joins the parts. */
     public GatewayParts(
             GatewaySettings settings,
             RequestDialect dialect,
-            Function<EventLoopGroup, PlatformFeeds> feedFactory,
+            Function<EventLoopGroup, PlatformPorts> feedFactory,
             MetricRegistry registry,
             EventLog log) {
         this.settings = settings;
@@ -114,7 +114,7 @@
                 catalog,
                 catalogFollower::ageMillis,
                 access,
-                new EngineChoice(targets, settings.domain(), works, peers),
+                new EngineChoice(self, settings.domain(), targets, works, peers, feeds.engineMemory(), loop, log),
                 new PlainChoice(targets, settings.domain()),
                 this::budget,
                 new GatewayMetrics(registry),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -50,6 +50,8 @@
             packer.packFloat((float) notice.maxPauseMillis());
             packer.packFloat((float) notice.weight());
             packer.packLong(notice.memoryTokens());
+            packer.packInt(notice.holders());
+            packer.packLong(notice.holderTokens());
         });
     }
 
@@ -93,6 +95,8 @@
                 unpacker.unpackFloat(),
                 unpacker.unpackFloat(),
                 unpacker.unpackFloat(),
+                unpacker.unpackLong(),
+                unpacker.unpackInt(),
                 unpacker.unpackLong());
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Chooses the target of a plain service that has least of its own work, counting failures as work.
@@ -87,6 +88,11 @@
             this.predictedMillis = predictedMillis;
         }
 
+        @Override
+        public void prepare(Consumer<Boolean> whenReady) {
+            whenReady.accept(true);
+        }
+
         @Override
         public TargetRuntime target() {
             return target;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RelayedAnswer.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RelayedAnswer.java
@@ -6,6 +6,7 @@
 import io.endiveshed.protocol.Header;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /** The stream that a caller gets, across the targets that made it. Confined to one event loop. */
 final class RelayedAnswer {
@@ -19,6 +20,8 @@
     private boolean started;
     private int waitingBytes;
     private boolean paused;
+    private long lastWriteNanos;
+    private long maxPauseNanos;
 
     RelayedAnswer(ResponseSink sink, RequestDialect dialect, OptionalLong lastEventId) {
         this.sink = sink;
@@ -46,12 +49,18 @@
         return lastEventId.isPresent();
     }
 
+    /** Returns the longest time between events so far, in milliseconds. */
+    long maxPauseMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(maxPauseNanos);
+    }
+
     /** Sends whole events; the header fields of the first target are those of the whole answer. */
     void write(int status, List<Header> headers, byte[] events, OptionalLong lastId) {
         if (!started) {
             started = true;
             sink.start(status, dialect.forCaller(headers));
         }
+        notePause(System.nanoTime());
         lastEventId = lastId;
         waitingBytes += events.length;
         if (waitingBytes > MAX_WAITING_BYTES && !paused) {
@@ -75,6 +84,13 @@
         sink.respond(status, dialect.forCaller(headers), body);
     }
 
+    private void notePause(long nowNanos) {
+        if (lastWriteNanos != 0) {
+            maxPauseNanos = Math.max(maxPauseNanos, nowNanos - lastWriteNanos);
+        }
+        lastWriteNanos = nowNanos;
+    }
+
     private void written(int bytes) {
         waitingBytes -= bytes;
         if (paused && waitingBytes <= MAX_WAITING_BYTES / 2) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
@@ -16,6 +16,8 @@
  * @param maxPauseMillis longest pause between events that is on time, in milliseconds
  * @param weight importance of the request
  * @param memoryTokens tokens that the first engine holds in memory
+ * @param holders number of helpers, from the first one, that hold a part of the prompt too
+ * @param holderTokens tokens that each of them holds
  */
 record WorkNotice(
         long number,
@@ -26,7 +28,9 @@
         double firstEventLimitMillis,
         double maxPauseMillis,
         double weight,
-        long memoryTokens) {
+        long memoryTokens,
+        int holders,
+        long holderTokens) {
     WorkNotice {
         targets = List.copyOf(targets);
     }
