Resume streams that run for longer than their caller waits for one event

The patience of the caller was counted from the arrival of the request, so no engine could begin in time for a stream that was two seconds old.

Change: for a stream that has begun, patience and objective count from the last event that the caller got.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
@@ -26,6 +26,8 @@
 
 /** Chooses the engines of a prompt by {@link EnginePlacer}, and tells the other entries. */
 final class EngineChoice implements TargetChoice {
+    private static final double NANOS_PER_MILLI = 1e6;
+
     /** Bytes of a body for each token, for requests that do not tell the size of their prompt. */
     private static final int BYTES_PER_TOKEN = 4;
 
@@ -67,9 +69,10 @@
     }
 
     @Override
-    public Either<Failure, Assignment> choose(RequestState request, Set<TargetRuntime> excluded, long nowNanos) {
+    public Either<Failure, Assignment> choose(
+            RequestState request, long waitingSinceNanos, Set<TargetRuntime> excluded, long nowNanos) {
         EngineProfile profile = request.service().engine().orElseThrow();
-        PromptRequest prompt = prompt(request, nowNanos);
+        PromptRequest prompt = prompt(request, waitingSinceNanos, nowNanos);
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
@@ -101,15 +104,18 @@
         return candidates;
     }
 
-    private static PromptRequest prompt(RequestState request, long nowNanos) {
+    private static PromptRequest prompt(RequestState request, long waitingSinceNanos, long nowNanos) {
         Optional<PromptSize> size = request.caller().prompt();
-        double elapsed = request.elapsedMillis(nowNanos);
-        double patience = CallerPatience.gapMillis(request.route()) - elapsed;
+        double waited = (nowNanos - waitingSinceNanos) / NANOS_PER_MILLI;
+        double patience = CallerPatience.gapMillis(request.route()) - waited;
+        boolean isResumed = waitingSinceNanos != request.arrivedNanos();
+        double objective =
+                isResumed ? request.route().maxPauseMillis() : request.route().targetLatencyMillis();
         return new PromptRequest(
                 size.map(PromptSize::promptTokens)
                         .orElse((long) request.caller().data().body().length / BYTES_PER_TOKEN),
                 size.map(PromptSize::expectedOutputTokens).orElse(DEFAULT_OUTPUT_TOKENS),
-                request.route().targetLatencyMillis() - elapsed,
+                objective - waited,
                 Math.min(patience, request.remainingMillis(nowNanos)),
                 Math.max(1, request.route().maxPauseMillis()));
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -126,7 +126,8 @@
 
     private Either<Failure, Assignment> choose(long now) {
         TargetChoice choice = state.service().engine().isPresent() ? context.engines() : context.plain();
-        return choice.choose(state, excluded, now);
+        long waitingSince = relay.hasStarted() ? relay.lastWriteNanos() : state.arrivedNanos();
+        return choice.choose(state, waitingSince, excluded, now);
     }
 
     private void prepare(Assignment prepared) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
@@ -34,7 +34,8 @@
     }
 
     @Override
-    public Either<Failure, Assignment> choose(RequestState request, Set<TargetRuntime> excluded, long nowNanos) {
+    public Either<Failure, Assignment> choose(
+            RequestState request, long waitingSinceNanos, Set<TargetRuntime> excluded, long nowNanos) {
         List<TargetRuntime> all = targets.of(request.service().name());
         TargetRuntime best = best(request, all, excluded, false, nowNanos);
         if (best == null) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RelayedAnswer.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RelayedAnswer.java
@@ -49,6 +49,11 @@
         return lastEventId.isPresent();
     }
 
+    /** Returns the moment at which the caller was sent the last event. */
+    long lastWriteNanos() {
+        return lastWriteNanos;
+    }
+
     /** Returns the longest time between events so far, in milliseconds. */
     long maxPauseMillis() {
         return TimeUnit.NANOSECONDS.toMillis(maxPauseNanos);
