Split the log lines and the stall limits off the forwarded request

Change: RequestLog and StallLimits, moved without change of behaviour.

Measured: ForwardingTest and StreamRelayTest pass.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -5,7 +5,6 @@
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.coordination.service.RouteKind;
 import io.endiveshed.gateway.AnswerHead;
-import io.endiveshed.gateway.CallerRequest;
 import io.endiveshed.gateway.TargetOptions;
 import io.endiveshed.net.http.HttpExchange;
 import io.endiveshed.net.http.HttpRequestData;
@@ -34,30 +33,6 @@
     /** Connections that may fail for one request; they reach no target and so are no attempts. */
     private static final int MAX_CONNECT_FAILURES = 3;
 
-    /** Time in milliseconds beyond a short prediction after which a silent target is given up. */
-    private static final double MIN_STALL_MILLIS = 800;
-
-    /**
-     * Time in milliseconds beyond a long prediction. Giving up a long read that is only slow loses seconds of an engine's
-     * work, and the engine itself reports within 1.5 s that a helper is gone.
-     */
-    private static final double LONG_STALL_MILLIS = 4_000;
-
-    /** Prediction in milliseconds from which the longer time applies. */
-    private static final double LONG_PREDICTION_MILLIS = 700;
-
-    /** Share of the prediction by which a target may exceed it before it is given up. */
-    private static final double STALL_SHARE = 1;
-
-    /** Pauses of a running stream, in units of the longest that is on time, after which its target is given up. */
-    private static final double STALL_PAUSES = 3;
-
-    /**
-     * Least silence in milliseconds of a running stream after which its target is given up. A pass in which an engine
-     * reads a part of a long prompt takes more than a second; callers leave after two.
-     */
-    private static final double MIN_STALL_PAUSE_MILLIS = 1_400;
-
     /** Time in milliseconds after which another target is looked for again. */
     private static final double STALL_RECHECK_MILLIS = 300;
 
@@ -76,6 +51,7 @@
     private final Runnable whenFinished;
     private final Set<TargetRuntime> excluded = new HashSet<>();
     private final RelayedAnswer relay;
+    private final RequestLog log;
     private Assignment assignment;
     private TargetAnswer answer;
     private HttpExchange exchange;
@@ -95,6 +71,7 @@
         this.sink = sink;
         this.whenFinished = whenFinished;
         this.relay = new RelayedAnswer(sink, context.dialect(), state.caller().lastEventId());
+        this.log = new RequestLog(context, state, relay);
     }
 
     void start() {
@@ -185,9 +162,7 @@
                         current,
                         head -> context.dialect().isAnswerTo(state.caller().id(), head));
         relay.exchange(exchange);
-        double predicted = chosen.predictedMillis();
-        double least = predicted < LONG_PREDICTION_MILLIS ? MIN_STALL_MILLIS : LONG_STALL_MILLIS;
-        armStall(predicted + least + predicted * STALL_SHARE);
+        armStall(StallLimits.untilFirstEvent(chosen.predictedMillis()));
     }
 
     @Override
@@ -199,7 +174,7 @@
             firstMillis = state.elapsedMillis(System.nanoTime());
         }
         assignment.begun();
-        armStall(Math.max(MIN_STALL_PAUSE_MILLIS, state.route().maxPauseMillis() * STALL_PAUSES));
+        armStall(StallLimits.betweenEvents(state.route()));
     }
 
     @Override
@@ -220,7 +195,9 @@
         TargetRuntime target = assignment.target();
         boolean notRun = from.head().notRun();
         Optional<TargetRuntime> culprit = culprit(from.head());
-        logAttempt(
+        log.attempt(
+                assignment,
+                attempts,
                 notRun ? "attempt.refused" : "attempt.failed",
                 "status " + from.head().status()
                         + culprit.map(at -> ", because of " + at.instance().id())
@@ -261,7 +238,7 @@
             return;
         }
         TargetRuntime target = assignment.target();
-        logAttempt("attempt.broken", message);
+        log.attempt(assignment, attempts, "attempt.broken", message);
         cancelExchange();
         endAttempt();
         if (!sent) {
@@ -307,7 +284,9 @@
             other.get().end();
             return;
         }
-        logAttempt(
+        log.attempt(
+                assignment,
+                attempts,
                 "attempt.stalled",
                 "no progress; moves to " + other.get().target().instance().id());
         silent.reputation().silent(System.nanoTime());
@@ -321,7 +300,8 @@
     private void logSlowOnce(Failure failure) {
         if (!slowLogged) {
             slowLogged = true;
-            logAttempt("attempt.slow", "silent, but there is no other target: " + failure.message());
+            log.attempt(
+                    assignment, attempts, "attempt.slow", "silent, but there is no other target: " + failure.message());
         }
     }
 
@@ -446,53 +426,7 @@
         if (limitTimer != null) {
             limitTimer.cancel(false);
         }
-        double total = state.elapsedMillis(System.nanoTime());
-        context.metrics().answered(state.account(), state.service().name().value(), status, firstMillis, total);
-        context.log()
-                .event("request.done")
-                .with("request", state.caller().id())
-                .with("route", state.route().name())
-                .with(
-                        "account",
-                        state.account().map(account -> account.id().value()).orElse("none"))
-                .with("status", status)
-                .with("reason", reason)
-                .with("attempts", attempts)
-                .with(
-                        "target",
-                        assignment == null
-                                ? "none"
-                                : assignment.target().instance().id())
-                .with("helpers", assignment == null ? 0 : assignment.helpers().size())
-                .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
-                .with("first_ms", (long) firstMillis)
-                .with("prompt_tokens", promptTokens())
-                .with("max_pause_ms", relay.maxPauseMillis())
-                .with("total_ms", (long) total)
-                .with("state_version", context.catalog().read().version())
-                .with("state_age_ms", context.catalogAge().getAsLong())
-                .write();
+        log.done(status, reason, assignment, attempts, firstMillis);
         whenFinished.run();
     }
-
-    private long promptTokens() {
-        return state.caller()
-                .prompt()
-                .map(CallerRequest.PromptSize::promptTokens)
-                .orElse(0L);
-    }
-
-    private void logAttempt(String event, String reason) {
-        context.metrics().count(event.replace('.', '_'));
-        context.log()
-                .event(event)
-                .with("request", state.caller().id())
-                .with("target", assignment.target().instance().id())
-                .with("helpers", assignment.helpers().size())
-                .with("attempt", attempts)
-                .with("reason", reason)
-                .with("elapsed_ms", (long) state.elapsedMillis(System.nanoTime()))
-                .with("predicted_ms", (long) assignment.predictedMillis())
-                .write();
-    }
 }
