--- a/gateway/src/main/java/io/endiveshed/gateway/EngineMemory.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/EngineMemory.java
@@ -25,4 +25,7 @@
 
     /** Ends a reservation; returns whether the engine confirmed it. */
     CompletionStage<Boolean> release(HttpClient client, InstanceId engine, String id);
+
+    /** Tells whether an engine answers; a silent one may be gone, and nobody uses what is reserved for its request. */
+    CompletionStage<Boolean> answers(HttpClient client, InstanceId engine);
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -6,8 +6,13 @@
 
 /** A target that was chosen for one attempt, until the attempt ends. Confined to one event loop. */
 interface Assignment {
-    /** Takes what the attempt needs beside its target, and tells whether it was to be had. */
-    void prepare(Consumer<Boolean> whenReady);
+    /**
+     * Takes what the attempt needs beside its target.
+     *
+     * @param whenReady told whether it was to be had
+     * @param whenSilent run if the target is later found not to answer
+     */
+    void prepare(Consumer<Boolean> whenReady, Runnable whenSilent);
 
     /** Returns the target. */
     TargetRuntime target();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
@@ -162,7 +162,7 @@
         works.started(EngineWorks.SELF, notice);
         peers.started(notice);
         Reservations reservations =
-                new Reservations(memory, loop, log, request.caller().id(), parts);
+                new Reservations(memory, loop, log, request.caller().id(), target, parts);
         return new EngineAssignment(target, helpers, reservations, notice, nowNanos);
     }
 
@@ -197,8 +197,8 @@
         }
 
         @Override
-        public void prepare(Consumer<Boolean> whenReady) {
-            reservations.reserve(whenReady);
+        public void prepare(Consumer<Boolean> whenReady, Runnable whenSilent) {
+            reservations.reserve(whenReady, whenSilent);
         }
 
         @Override
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -111,7 +111,7 @@
 
     private void prepare(Assignment prepared) {
         assignment = prepared;
-        prepared.prepare(ready -> prepared(prepared, ready));
+        prepared.prepare(ready -> prepared(prepared, ready), () -> silent(prepared));
     }
 
     private void prepared(Assignment chosen, boolean ready) {
@@ -262,6 +262,14 @@
         retryOr(() -> giveUp(broken(message)), false);
     }
 
+    /** Ends an attempt whose target does not answer, as memory of other engines is held for it. */
+    private void silent(Assignment of) {
+        if (of == assignment && answer != null) {
+            of.target().reputation().silent(System.nanoTime());
+            broken(answer, true, "the engine does not answer");
+        }
+    }
+
     /**
      * Moves the request from a silent target to another one. A target without another is only slow as far as anyone
      * knows, so its answer is waited for.
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainChoice.java
@@ -90,7 +90,7 @@
         }
 
         @Override
-        public void prepare(Consumer<Boolean> whenReady) {
+        public void prepare(Consumer<Boolean> whenReady, Runnable whenSilent) {
             whenReady.accept(true);
         }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Reservations.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Reservations.java
@@ -15,33 +15,43 @@
  */
 final class Reservations {
     /**
-     * Lease of a reservation. It ends soon enough after the death of this process to count as given back, and lasts
-     * through two lost renewals.
+     * Lease of a reservation. Together with the time until a dead engine is noticed it stays below the time in which
+     * unused memory must be given back, and it lasts through one lost renewal.
      */
-    private static final Duration LEASE = Duration.ofSeconds(3);
+    private static final Duration LEASE = Duration.ofMillis(2_200);
 
-    private static final Duration RENEWAL = Duration.ofMillis(1_200);
+    private static final Duration RENEWAL = Duration.ofSeconds(1);
 
     private final EngineMemory memory;
     private final EventLoop loop;
     private final EventLog log;
     private final String request;
+    private final TargetRuntime first;
     private final List<Part> parts;
+    private Runnable whenFirstIsSilent = () -> {};
     private ScheduledFuture<?> renewal;
     private int waiting;
     private boolean failed;
     private boolean ended;
 
-    Reservations(EngineMemory memory, EventLoop loop, EventLog log, String request, List<Part> parts) {
+    Reservations(
+            EngineMemory memory, EventLoop loop, EventLog log, String request, TargetRuntime first, List<Part> parts) {
         this.memory = memory;
         this.loop = loop;
         this.log = log;
         this.request = request;
+        this.first = first;
         this.parts = List.copyOf(parts);
     }
 
-    /** Reserves all parts, and tells whether every engine holds its part. */
-    void reserve(Consumer<Boolean> whenDone) {
+    /**
+     * Reserves all parts, and tells whether every engine holds its part.
+     *
+     * @param whenDone told whether all parts are held
+     * @param whenSilent run once if the engine that uses them does not answer any more
+     */
+    void reserve(Consumer<Boolean> whenDone, Runnable whenSilent) {
+        whenFirstIsSilent = whenSilent;
         if (parts.isEmpty()) {
             whenDone.accept(true);
             return;
@@ -87,7 +97,24 @@
         }
     }
 
+    /** Renews the parts if the engine that uses them answers. */
     private void renew() {
+        memory.answers(first.client(), first.instance().id()).thenAccept(alive -> loop.execute(() -> renewIf(alive)));
+    }
+
+    private void renewIf(boolean alive) {
+        if (ended) {
+            return;
+        }
+        if (!alive) {
+            log.event("reservation.unused")
+                    .with("request", request)
+                    .with("target", first.instance().id())
+                    .with("reason", "the engine does not answer")
+                    .write();
+            whenFirstIsSilent.run();
+            return;
+        }
         for (Part part : parts) {
             send(part, held -> {
                 if (!held) {
