Read prompts ahead of whole ones by dividing them; tell new entries of running work

The cost model queued both alike. - After its restart an entry placed its requests on the engines that the others had filled, as notices are sent once.

Ruled out: lost notices (entries that did not restart saw the right loads), start-up time (process to first answer 45 ms).

Change: loads keep the parts of divided prompts apart, a short prompt may be divided among two engines to pass whole reads, the last slots of an engine cost more instead of being closed, an entry repeats its open work to each entry that it hears of for the first time, and requests that come in the milliseconds before the first desired state wait up to 200 ms for it.

EnginePlacerTest.refusesWhatCannotBeginInTimeAndNamesTheWait now fills the engines with parts of divided prompts: with whole prompts a short one is not to be refused any more, which a new test checks.

--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
@@ -1,6 +1,7 @@
 package io.endiveshed.coordination.engine;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -14,6 +15,7 @@
 
     private final List<EngineWork> works = new ArrayList<>();
     private long readUntilNanos;
+    private long partsUntilNanos;
     private double pace = 1;
 
     /** Returns the moment at which the engine will probably have read all prompts that it was given. */
@@ -21,6 +23,11 @@
         return readUntilNanos;
     }
 
+    /** Returns the moment at which the engine will probably have read its parts of divided prompts, which go first. */
+    long partsUntilNanos() {
+        return partsUntilNanos;
+    }
+
     /** Returns how many times slower than its cost model the engine is; 1 if it keeps to the model. */
     public double pace() {
         return pace;
@@ -56,10 +63,24 @@
         return sum;
     }
 
-    /** Adds work and the time in milliseconds for which the engine reads for it. */
+    /** Tells whether the engine has the work that an owner gave a number. */
+    public boolean has(int owner, long number) {
+        return works.stream().anyMatch(work -> work.owner() == owner && work.number() == number);
+    }
+
+    /**
+     * Adds work and the time in milliseconds for which the engine reads for it. A part of a divided prompt delays the
+     * whole prompts that wait.
+     */
     public void add(EngineWork work, double readMillis, long nowNanos) {
+        long read = (long) (readMillis * 1e6);
+        if (work.divided()) {
+            partsUntilNanos = Math.max(partsUntilNanos, nowNanos) + read;
+            works.replaceAll(
+                    other -> other.divided() || other.firstEventNanos() <= nowNanos ? other : other.delayed(read));
+        }
         works.add(work);
-        readUntilNanos = Math.max(readUntilNanos, nowNanos) + (long) (readMillis * 1e6);
+        readUntilNanos = Math.max(readUntilNanos, nowNanos) + read;
     }
 
     /**
@@ -67,9 +88,17 @@
      * by the share of it that the work still had.
      */
     public void remove(int owner, long number, double unreadMillis, long nowNanos) {
-        boolean removed = works.removeIf(work -> work.owner() == owner && work.number() == number);
-        if (removed && unreadMillis > 0) {
-            readUntilNanos = Math.max(nowNanos, readUntilNanos - (long) (unreadMillis * 1e6));
+        for (Iterator<EngineWork> all = works.iterator(); all.hasNext(); ) {
+            EngineWork work = all.next();
+            if (work.owner() != owner || work.number() != number) {
+                continue;
+            }
+            all.remove();
+            long unread = (long) (unreadMillis * 1e6);
+            readUntilNanos = Math.max(nowNanos, readUntilNanos - unread);
+            if (work.divided()) {
+                partsUntilNanos = Math.max(nowNanos, partsUntilNanos - unread);
+            }
         }
     }
 
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -61,9 +61,12 @@
     /** Part of an engine's memory that one part of a divided prompt takes at most. */
     private static final double PART_MEMORY_SHARE = 0.6;
 
-    /** Slots of an engine that are kept free for requests placed at the same moment by other entries. */
+    /** Last slots of an engine, which are used when no other is free, as other entries may take them at the same moment. */
     private static final int SPARE_SLOTS = 2;
 
+    /** Cost of one of the last slots of an engine, as a share of the prompt's weight. */
+    private static final double SPARE_SLOT_COST = 0.2;
+
     /** Part of the time until a caller gives up that a prediction may use. */
     private static final double ABANDON_SHARE = 0.9;
 
@@ -149,7 +152,7 @@
         double inPass = profile.readMillisInOnePass(tokens / engines, read);
         List<Option> options = new ArrayList<>(candidates.size());
         for (int i = 0; i < candidates.size(); i++) {
-            options.add(option(profile, request, candidates, i, read, inPass, longShare, nowNanos));
+            options.add(option(profile, request, candidates, i, read, inPass, engines > 1, longShare, nowNanos));
         }
         options.sort(Comparator.comparingDouble(option -> option.cost));
         return options;
@@ -160,7 +163,7 @@
         boolean fitsOne = leastParts == 1;
         boolean isShort = wholeRead <= profile.passMillis(1) * 2 || !isLong(request.maxPauseMillis());
         if (fitsOne && isShort) {
-            return 1;
+            return Math.min(candidates, 2);
         }
         return Math.min(candidates, MAX_HELPERS + 1);
     }
@@ -172,7 +175,7 @@
         if (first == null) {
             return null;
         }
-        double cost = first.cost;
+        double cost = first.cost + first.firstCost;
         double ready = first.readyMillis;
         List<EngineCandidate> holders = new ArrayList<>(parts - 1);
         List<EngineCandidate> readers = new ArrayList<>(engines - 1);
@@ -216,17 +219,20 @@
             int index,
             double read,
             double inPass,
+            boolean divided,
             double longShare,
             long nowNanos) {
         EngineCandidate candidate = candidates.get(index);
         EngineLoad load = candidate.load();
         Option option = new Option(candidate);
         double pace = load.pace();
-        double wait = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
+        double backlog = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
+        double wait = divided ? Math.max(0, (load.partsUntilNanos() - nowNanos) / NANOS_PER_MILLI) : backlog;
         option.waitMillis = wait;
         option.writers = load.writers();
         long context = load.memoryTokens();
-        option.hasSlot = option.writers + SPARE_SLOTS < Math.min(profile.slots(), candidate.slots());
+        int freeSlots = Math.min(profile.slots(), candidate.slots()) - option.writers;
+        option.hasSlot = freeSlots > 0;
         option.freeTokens = (long) (profile.memoryTokens() * MEMORY_SHARE) - context;
         double pass = profile.passMillis(option.writers, context) * pace;
         double longerPass = profile.passMillis(option.writers + 1, context + request.promptTokens()) * pace;
@@ -241,12 +247,15 @@
                 continue;
             }
             packed |= !isLong(work.maxPauseMillis());
-            cost += harm(work, pass, wait, inPass * pace, nowNanos);
+            cost += harm(work, pass, backlog, inPass * pace, nowNanos);
             cost += work.weight()
                     * (retransmitLoss(longerPass, work.maxPauseMillis()) - retransmitLoss(pass, work.maxPauseMillis()));
         }
         double weight = request.weight();
         cost += weight * retransmitLoss(longerPass, request.maxPauseMillis());
+        // Whole prompts that are read later make the new stream pause.
+        option.firstCost = weight * LATE_LOSS * pauseLateness(pass + backlog - wait, request.maxPauseMillis());
+        option.firstCost += freeSlots > SPARE_SLOTS ? 0 : weight * SPARE_SLOT_COST;
         cost += weight * DISTANCE_COST * candidate.distanceMillis();
         if (isShort && !packed) {
             cost += OPENING_COST * Math.min(1, longShare) * weight;
@@ -297,6 +306,7 @@
     private static final class Option {
         private final EngineCandidate candidate;
         private double cost;
+        private double firstCost;
         private double waitMillis;
         private double readyMillis;
         private int writers;
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineWork.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineWork.java
@@ -11,6 +11,7 @@
  * @param maxPauseMillis longest pause in milliseconds that is on time
  * @param weight importance, see {@link PromptRequest#weight}; 0 for a helper's part, which writes nothing
  * @param memoryTokens tokens that it holds in the engine's memory
+ * @param divided whether several engines read the prompt; engines read such parts ahead of whole prompts
  */
 public record EngineWork(
         int owner,
@@ -20,8 +21,23 @@
         long firstEventLimitNanos,
         double maxPauseMillis,
         double weight,
-        long memoryTokens) {
+        long memoryTokens,
+        boolean divided) {
     boolean isWriter() {
         return weight > 0;
     }
+
+    /** Returns this work with its first event later by the given time in nanoseconds. */
+    EngineWork delayed(long nanos) {
+        return new EngineWork(
+                owner,
+                number,
+                firstEventNanos + nanos,
+                endNanos + nanos,
+                firstEventLimitNanos,
+                maxPauseMillis,
+                weight,
+                memoryTokens,
+                divided);
+    }
 }
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/AlternatingLoad.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/AlternatingLoad.java
@@ -16,7 +16,7 @@
     private static final Mix SHORT_PHASE = new Mix(75, 0.8, 0.04);
     private static final Mix LONG_PHASE = new Mix(10, 2.1, 2.1);
 
-    private final Random random = new Random(SEED);
+    private final Random random;
     private final EngineProfile profile;
     private final List<EngineSimulation> simulations = new ArrayList<>();
     private final List<EngineCandidate> candidates = new ArrayList<>();
@@ -29,7 +29,12 @@
     private long number;
 
     AlternatingLoad(EngineProfile profile, int engines) {
+        this(profile, engines, SEED);
+    }
+
+    AlternatingLoad(EngineProfile profile, int engines, long seed) {
         this.profile = profile;
+        this.random = new Random(seed);
         for (int i = 0; i < engines; i++) {
             simulations.add(new EngineSimulation(profile));
             candidates.add(new EngineCandidate(new InstanceId("engine-" + i), profile.slots(), new EngineLoad(), 0));
@@ -104,12 +109,20 @@
         engine.load()
                 .add(
                         new EngineWork(
-                                0, number, first, end, limit, request.maxPauseMillis(), weight, request.promptTokens()),
+                                0,
+                                number,
+                                first,
+                                end,
+                                limit,
+                                request.maxPauseMillis(),
+                                weight,
+                                request.promptTokens(),
+                                parts > 1),
                         placement.readMillis(),
                         nowNanos);
         simulations
                 .get(candidates.indexOf(engine))
-                .read(stream, request.promptTokens() / parts, placement.readMillis());
+                .read(stream, request.promptTokens() / parts, placement.readMillis(), parts > 1);
     }
 
     private Placement leastLoaded(PromptRequest request) {
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
@@ -63,7 +63,7 @@
     @Test
     void refusesWhatCannotBeginInTimeAndNamesTheWait() {
         for (EngineCandidate engine : engines) {
-            engine.load().add(work(4_000, 5_000, 1000, 200_000), 4_000, 0);
+            engine.load().add(work(4_000, 5_000, 1000, 200_000, true), 4_000, 0);
         }
         Either<Long, Placement> answer = placer.place(PROFILE, shortPrompt(), engines, 0, 0);
         assertThat(answer.isLeft()).isTrue();
@@ -71,12 +71,50 @@
         assertThat(answer.getLeft()).isAtMost(4_000L);
     }
 
+    /** Guards against a short prompt that waits, or is refused, because all engines read long prompts as a whole. */
+    @Test
+    void shortPromptIsDividedWhereItWouldWaitBehindWholePrompts() {
+        for (EngineCandidate engine : engines) {
+            engine.load().add(work(4_000, 5_000, 1000, 200_000, false), 4_000, 0);
+        }
+        Placement placed = place(shortPrompt());
+        assertThat(placed.helpers()).hasSize(1);
+        assertThat(placed.firstEventMillis()).isLessThan(300.0);
+    }
+
+    /** Guards against predictions that overlook that a divided prompt delays the whole prompts of its engines. */
+    @Test
+    void dividedPromptDelaysWholeOnes() {
+        EngineLoad load = engines.get(0).load();
+        load.add(work(1_000, 2_000, 1000, 200_000, false), 1_000, 0);
+        load.add(work(500, 2_000, 1000, 100_000, true), 500, 0);
+        assertThat(load.works().get(0).firstEventNanos()).isEqualTo(1_500 * MILLI);
+        assertThat(load.works().get(1).firstEventNanos()).isEqualTo(500 * MILLI);
+        assertThat(load.partsUntilNanos()).isEqualTo(500 * MILLI);
+        assertThat(load.readUntilNanos()).isEqualTo(1_500 * MILLI);
+    }
+
+    /** Plays a burst that fills all but the last slots; guards against refusing callers while slots are free. */
+    @Test
+    void lastSlotsAreUsedBeforeAnythingIsRefused() {
+        int placed = 0;
+        while (placed < 1_000) {
+            Either<Long, Placement> answer = placer.place(PROFILE, shortPrompt(), engines, 0.3, 0);
+            if (answer.isLeft()) {
+                break;
+            }
+            add(answer.get(), new PromptRequest(0, 1_300, 300, 2_000, 250));
+            placed++;
+        }
+        assertThat(placed).isEqualTo(engines.size() * PROFILE.slots());
+    }
+
     /** Guards against a read that makes the short streams of an engine pause, while idle engines are left. */
     @Test
     void longPromptAvoidsEnginesWithShortStreams() {
         for (int i = 0; i < 4; i++) {
             for (int j = 0; j < 4; j++) {
-                engines.get(i).load().add(work(-1, 3_000, 250, 18_000), 0, 0);
+                engines.get(i).load().add(work(-1, 3_000, 250, 18_000, false), 0, 0);
             }
         }
         Placement placed = place(longPrompt(150_000));
@@ -116,12 +154,13 @@
                                 first * 2,
                                 request.maxPauseMillis(),
                                 request.weight(),
-                                request.promptTokens()),
+                                request.promptTokens(),
+                                !placed.helpers().isEmpty()),
                         placed.readMillis(),
                         0);
     }
 
-    private EngineWork work(long firstMillis, long endMillis, double pause, double weight) {
+    private EngineWork work(long firstMillis, long endMillis, double pause, double weight, boolean divided) {
         number++;
         return new EngineWork(
                 OWNER,
@@ -131,7 +170,8 @@
                 (firstMillis + 500) * MILLI,
                 pause,
                 weight,
-                5_000);
+                5_000,
+                divided);
     }
 
     private static Set<InstanceId> ids(Placement placed) {
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/EngineSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/EngineSimulation.java
@@ -17,10 +17,14 @@
         this.profile = profile;
     }
 
-    /** Adds a part of a prompt that must be read for a stream. */
-    void read(Stream stream, long tokens, double millis) {
+    /** Adds what must be read for a stream; parts of divided prompts are read before whole prompts. */
+    void read(Stream stream, long tokens, double millis, boolean divided) {
         stream.partsLeft++;
-        parts.add(new Part(stream, tokens, millis));
+        int index = parts.size();
+        if (divided) {
+            index = (int) parts.stream().takeWhile(part -> part.divided).count();
+        }
+        parts.add(index, new Part(stream, tokens, millis, divided));
     }
 
     /** Adds a stream that this engine writes. */
@@ -106,11 +110,13 @@
 
     private static final class Part {
         private final Stream stream;
+        private final boolean divided;
         private long tokens;
         private double millis;
 
-        private Part(Stream stream, long tokens, double millis) {
+        private Part(Stream stream, long tokens, double millis, boolean divided) {
             this.stream = stream;
+            this.divided = divided;
             this.tokens = Math.max(1, tokens);
             this.millis = millis;
         }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
@@ -29,6 +29,9 @@
     public void started(int owner, WorkNotice notice) {
         long now = System.nanoTime();
         List<InstanceId> ids = notice.targets();
+        if (isKnown(owner, notice)) {
+            return;
+        }
         if (EnginePlacer.isLong(notice.maxPauseMillis())) {
             longReads.add(notice.readMillis() * ids.size());
         }
@@ -46,13 +49,20 @@
                                         after(now, notice.firstEventLimitMillis()),
                                         notice.maxPauseMillis(),
                                         first ? notice.weight() : 0,
-                                        memoryTokens(notice, i)),
+                                        memoryTokens(notice, i),
+                                        ids.size() > 1),
                                 notice.readMillis() * target.load().pace(),
                                 now);
             }
         }
     }
 
+    /** An entry that meets another one again repeats its notices, which the other may not have missed. */
+    private boolean isKnown(int owner, WorkNotice notice) {
+        TargetRuntime first = targets.find(notice.targets().get(0));
+        return first != null && first.load().has(owner, notice.number());
+    }
+
     @Override
     public void ended(int owner, long number, double unreadMillis) {
         long now = System.nanoTime();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
@@ -48,6 +48,9 @@
     /** Interval of the notices by which other entries know that this one lives. */
     private static final Duration BEAT = Duration.ofMillis(500);
 
+    /** Interval at which requests that came before the first desired state are looked at. */
+    private static final Duration EARLY_CHECK = Duration.ofMillis(5);
+
     /** Time to open a connection to a target; a lost packet costs a second, and another target is tried sooner. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(350);
 
@@ -66,6 +69,7 @@
     private final EngineWorks works;
     private final PeerExchange peers;
     private final AccessPolicy access;
+    private final EarlyRequests early = new EarlyRequests(this::canServe);
     private final RequestForwarder forwarder;
     private final FeedFollower<ServiceCatalog> catalogFollower;
     private final FeedFollower<TargetInstance> targetsFollower;
@@ -101,18 +105,21 @@
                 follower("desired state", feeds.catalog(), CATALOG_WATCH, new CatalogListener(catalog, log));
         this.targetsFollower = follower("targets", feeds.targets(), TARGETS_WATCH, targets);
         this.entriesFollower = follower("entries", feeds.entries(), ENTRIES_WATCH, peers);
-        this.forwarder = new RequestForwarder(new GatewayContext(
-                loop,
-                dialect,
-                catalog,
-                catalogFollower::ageMillis,
-                access,
-                new EngineChoice(self, settings.domain(), targets, works, peers, feeds.engineMemory(), loop, log),
-                new PlainChoice(targets, settings.domain()),
-                targets::at,
-                this::budget,
-                new GatewayMetrics(registry),
-                log));
+        this.forwarder = new RequestForwarder(
+                new GatewayContext(
+                        loop,
+                        dialect,
+                        catalog,
+                        catalogFollower::ageMillis,
+                        access,
+                        new EngineChoice(
+                                self, settings.domain(), targets, works, peers, feeds.engineMemory(), loop, log),
+                        new PlainChoice(targets, settings.domain()),
+                        targets::at,
+                        this::budget,
+                        new GatewayMetrics(registry),
+                        log),
+                early);
     }
 
     /** Returns the event loops. */
@@ -133,6 +140,7 @@
         entriesFollower.start();
         register();
         loop.scheduleAtFixedRate(this::beat, BEAT.toMillis(), BEAT.toMillis(), TimeUnit.MILLISECONDS);
+        releaseEarly();
     }
 
     /** Ends all. */
@@ -147,11 +155,14 @@
     /** Tells whether callers should come here: requests can be decided and there is a target for them. */
     public boolean isReady() {
         return !leaving
-                && catalog.read().isKnown()
-                && !targets.isEmpty()
+                && canServe()
                 && !(catalog.read().keysRequired() && access.isTooOldForKeys(catalogFollower.ageMillis()));
     }
 
+    private boolean canServe() {
+        return catalog.read().isKnown() && !targets.isEmpty();
+    }
+
     /** Stops being ready. */
     public void leave() {
         leaving = true;
@@ -173,6 +184,14 @@
         works.expire();
     }
 
+    /** Looks for requests whose wait has ended until the entry can serve, and then a last time. */
+    private void releaseEarly() {
+        early.release(System.nanoTime());
+        if (!canServe()) {
+            loop.schedule(this::releaseEarly, EARLY_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void register() {
         feeds.entries()
                 .register(self)
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -39,6 +39,7 @@
     private final WorkListener listener;
     private final Map<InstanceId, InetSocketAddress> known = new HashMap<>();
     private final Map<InstanceId, Peer> heard = new HashMap<>();
+    private final OwnWork ownWork = new OwnWork();
     private Channel channel;
     private int lastOwner;
 
@@ -74,11 +75,6 @@
         return known.size() + 1;
     }
 
-    /** Returns the number of entries that were heard of lately, with this one. */
-    int livingEntries() {
-        return heard.size() + 1;
-    }
-
     /** Shows that this entry lives, and forgets the work of entries that are silent. */
     void beat() {
         send(PeerCodec.hello(self));
@@ -94,10 +90,12 @@
     }
 
     void started(WorkNotice notice) {
+        ownWork.started(notice, System.nanoTime());
         send(PeerCodec.started(self, notice));
     }
 
     void ended(long number, double unreadMillis) {
+        ownWork.ended(number);
         send(PeerCodec.ended(self, number, unreadMillis));
     }
 
@@ -118,6 +116,7 @@
                 known.put(record.instance(), endpoint.socketAddress());
             }
         }
+        tellNewPeers();
     }
 
     @Override
@@ -147,6 +146,7 @@
                     .with("entry", sender.instance())
                     .with("started", sender.startedMillis())
                     .write();
+            tellNewPeers();
         }
         peer.heardNanos = System.nanoTime();
         int owner = peer.owner;
@@ -156,6 +156,22 @@
         }
     }
 
+    /** Tells entries that were heard of for the first time of the work that goes on, once their address is known. */
+    private void tellNewPeers() {
+        for (Map.Entry<InstanceId, Peer> entry : heard.entrySet()) {
+            InetSocketAddress peerAddress = known.get(entry.getKey());
+            if (entry.getValue().toldOfWork || peerAddress == null) {
+                continue;
+            }
+            entry.getValue().toldOfWork = true;
+            for (WorkNotice notice : ownWork.notices(System.nanoTime())) {
+                byte[] bytes = PeerCodec.started(self, notice);
+                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peerAddress));
+            }
+            channel.flush();
+        }
+    }
+
     /** Hears of the work of other entries; owners are small numbers above 0. */
     interface WorkListener {
         void started(int owner, WorkNotice notice);
@@ -169,6 +185,7 @@
         private final int owner;
         private final long startedMillis;
         private long heardNanos;
+        private boolean toldOfWork;
 
         private Peer(int owner, long startedMillis) {
             this.owner = owner;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestForwarder.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestForwarder.java
@@ -23,11 +23,13 @@
     private static final double UNIT_BITS = 0x1.0p-31;
 
     private final GatewayContext context;
+    private final EarlyRequests early;
     private boolean refusing;
     private int open;
 
-    RequestForwarder(GatewayContext context) {
+    RequestForwarder(GatewayContext context, EarlyRequests early) {
         this.context = context;
+        this.early = early;
     }
 
     /** Refuses requests from now on, as there may be no time left to finish them. */
@@ -43,6 +45,12 @@
     @Override
     public void handle(HttpRequestData data, ResponseSink sink) {
         long now = System.nanoTime();
+        if (!early.hold(now, () -> decide(data, sink, now))) {
+            decide(data, sink, now);
+        }
+    }
+
+    private void decide(HttpRequestData data, ResponseSink sink, long arrivedNanos) {
         Either<Failure, CallerRequest> decoded = context.dialect().decode(data);
         if (decoded.isLeft()) {
             reject(sink, "unknown", decoded.getLeft());
@@ -67,10 +75,11 @@
             reject(sink, caller.id(), access.getLeft());
             return;
         }
-        forward(catalog, caller, access.get(), now, sink);
+        forward(catalog, caller, access.get(), arrivedNanos, sink);
     }
 
-    private void forward(ServiceCatalog catalog, CallerRequest caller, Access access, long now, ResponseSink sink) {
+    private void forward(
+            ServiceCatalog catalog, CallerRequest caller, Access access, long arrivedNanos, ResponseSink sink) {
         RouteRule route = access.route();
         ServiceName name = route.service(fraction(caller.id()));
         Optional<ServiceRule> service = catalog.service(name);
@@ -89,8 +98,8 @@
                 route,
                 service.get(),
                 access.account(),
-                now,
-                now + Duration.ofMillis(patience).toNanos());
+                arrivedNanos,
+                arrivedNanos + Duration.ofMillis(patience).toNanos());
         open++;
         new ForwardedRequest(context, state, sink, () -> open--).start();
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -1,6 +1,7 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.gateway.CallerRequest.PromptSize;
+import java.util.stream.Collectors;
 
 /** The log lines and metrics of one request. */
 final class RequestLog {
@@ -22,6 +23,7 @@
                 .with("request", state.caller().id())
                 .with("target", assignment.target().instance().id())
                 .with("helpers", assignment.helpers().size())
+                .with("helper_addresses", addresses(assignment))
                 .with("attempt", attempts)
                 .with("reason", reason)
                 .with("elapsed_ms", (long) state.elapsedMillis(System.nanoTime()))
@@ -57,6 +59,7 @@
                                 ? "none"
                                 : assignment.target().instance().id())
                 .with("helpers", assignment == null ? 0 : assignment.helpers().size())
+                .with("helper_addresses", assignment == null ? "none" : addresses(assignment))
                 .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
                 .with("first_ms", (long) firstMillis)
                 .with("prompt_tokens", promptTokens())
@@ -67,6 +70,14 @@
                 .write();
     }
 
+    private static String addresses(Assignment assignment) {
+        return assignment.helpers().isEmpty()
+                ? "none"
+                : assignment.helpers().stream()
+                        .map(helper -> helper.endpoint().toString())
+                        .collect(Collectors.joining(","));
+    }
+
     private long promptTokens() {
         return state.caller().prompt().map(PromptSize::promptTokens).orElse(0L);
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
@@ -34,4 +34,21 @@
     WorkNotice {
         targets = List.copyOf(targets);
     }
+
+    /** Returns what is left of the work after the given time in milliseconds; times that have passed are below 0. */
+    WorkNotice after(double elapsedMillis) {
+        double firstEvent = firstEventMillis - elapsedMillis;
+        return new WorkNotice(
+                number,
+                targets,
+                Math.max(0, Math.min(readMillis, firstEvent)),
+                firstEvent,
+                endMillis - elapsedMillis,
+                firstEventLimitMillis - elapsedMillis,
+                maxPauseMillis,
+                weight,
+                memoryTokens,
+                holders,
+                holderTokens);
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -0,0 +1,123 @@
+package io.endiveshed.gateway.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.gateway.EntryRecord;
+import io.endiveshed.ports.platform.FeedBatch;
+import io.endiveshed.ports.platform.FeedEvent;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Two entries that exchange datagrams on loopback. */
+final class PeerExchangeTest {
+    /** Liveness limit of waits; nothing is asserted to be faster. */
+    private static final long WAIT_SECONDS = 30;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stopLoops() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against a restarted entry that sends its requests to engines that the others have filled. */
+    @Test
+    void entryThatStartsLaterHearsOfRunningWork() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        onLoop(() -> {
+            first.exchange.started(OwnWorkTest.notice(1, 400, 1_000));
+            first.exchange.started(OwnWorkTest.notice(2, 400, 1_000));
+            first.exchange.ended(1, 0);
+            return null;
+        });
+        first.learns(second);
+        second.start();
+        second.learns(first);
+        onLoop(() -> {
+            second.exchange.beat();
+            return null;
+        });
+        await(() -> !second.heard.isEmpty());
+        assertThat(second.heard).containsExactly(2L);
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
+    private void await(Supplier<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!onLoop(condition)) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+
+    private <T> T onLoop(Supplier<T> action) throws Exception {
+        return loops.submit(action::get).get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private final class Entry implements PeerExchange.WorkListener {
+        private final EntryRecord record;
+        private final PeerExchange exchange;
+        private final List<Long> heard = new ArrayList<>();
+
+        Entry(String name, long startedMillis) throws SocketException {
+            InetSocketAddress address = freeAddress();
+            record = new EntryRecord(
+                    new InstanceId(name), new Endpoint(address.getHostString(), address.getPort()), startedMillis);
+            exchange = new PeerExchange(
+                    new PeerCodec.PeerId(record.instance(), startedMillis),
+                    address,
+                    loops,
+                    EventLog.to(new PrintStream(new ByteArrayOutputStream())),
+                    this);
+        }
+
+        void start() {
+            exchange.start();
+        }
+
+        void learns(Entry other) throws Exception {
+            onLoop(() -> {
+                exchange.listed(new FeedBatch<>(
+                        List.of(new FeedEvent<>(other.record.instance().value(), 1, Optional.of(other.record))), 1));
+                return null;
+            });
+        }
+
+        @Override
+        public void started(int owner, WorkNotice notice) {
+            heard.add(notice.number());
+        }
+
+        @Override
+        public void ended(int owner, long number, double unreadMillis) {}
+
+        @Override
+        public void ownerGone(int owner) {}
+    }
+
+    private static InetSocketAddress freeAddress() throws SocketException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+}
