Model that engines read the newest divided part first

New lines "attempt.placed" name all engines of each attempt, also of entries that are killed later. They show that a part that comes later is read ahead of the parts that wait: a prompt of 267,290 tokens got its first event 0.2 s after a later one of 417,408 tokens on one of its engines was killed with its entry; six more delayed prompts each shared an engine with a later divided one, and ended after it.

Ruled out: dark engines (the same engines answered whole prompts as predicted meanwhile), memory (no engine was near its limit), sharing in proportion (the first prompt had 0.25 s of reading left).

Change: a divided prompt is predicted not to wait and delays everything that its engines have yet to read, also parts of prompts that other engines write; placing counts what those callers lose, also that they leave. Notices between entries carry when a caller leaves (format 2).

--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
@@ -1,7 +1,6 @@
 package io.endiveshed.coordination.engine;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 
 /**
@@ -15,7 +14,6 @@
 
     private final List<EngineWork> works = new ArrayList<>();
     private long readUntilNanos;
-    private long partsUntilNanos;
     private double pace = 1;
 
     /** Returns the moment at which the engine will probably have read all prompts that it was given. */
@@ -23,11 +21,6 @@
         return readUntilNanos;
     }
 
-    /** Returns the moment at which the engine will probably have read its parts of divided prompts, which go first. */
-    long partsUntilNanos() {
-        return partsUntilNanos;
-    }
-
     /** Returns how many times slower than its cost model the engine is; 1 if it keeps to the model. */
     public double pace() {
         return pace;
@@ -47,7 +40,7 @@
     public int writers() {
         int count = 0;
         for (EngineWork work : works) {
-            if (work.isWriter()) {
+            if (work.writer()) {
                 count++;
             }
         }
@@ -69,15 +62,13 @@
     }
 
     /**
-     * Adds work and the time in milliseconds for which the engine reads for it. A part of a divided prompt delays the
-     * whole prompts that wait.
+     * Adds work and the time in milliseconds for which the engine reads for it. Engines read the parts of divided
+     * prompts ahead of all that waits, the newest first.
      */
-    public void add(EngineWork work, double readMillis, long nowNanos) {
+    public void add(EngineWork work, double readMillis, boolean divided, long nowNanos) {
         long read = (long) (readMillis * 1e6);
-        if (work.divided()) {
-            partsUntilNanos = Math.max(partsUntilNanos, nowNanos) + read;
-            works.replaceAll(
-                    other -> other.divided() || other.firstEventNanos() <= nowNanos ? other : other.delayed(read));
+        if (divided) {
+            works.replaceAll(other -> other.firstEventNanos() <= nowNanos ? other : other.delayed(read));
         }
         works.add(work);
         readUntilNanos = Math.max(readUntilNanos, nowNanos) + read;
@@ -88,17 +79,9 @@
      * by the share of it that the work still had.
      */
     public void remove(int owner, long number, double unreadMillis, long nowNanos) {
-        for (Iterator<EngineWork> all = works.iterator(); all.hasNext(); ) {
-            EngineWork work = all.next();
-            if (work.owner() != owner || work.number() != number) {
-                continue;
-            }
-            all.remove();
-            long unread = (long) (unreadMillis * 1e6);
-            readUntilNanos = Math.max(nowNanos, readUntilNanos - unread);
-            if (work.divided()) {
-                partsUntilNanos = Math.max(nowNanos, partsUntilNanos - unread);
-            }
+        boolean removed = works.removeIf(work -> work.owner() == owner && work.number() == number);
+        if (removed && unreadMillis > 0) {
+            readUntilNanos = Math.max(nowNanos, readUntilNanos - (long) (unreadMillis * 1e6));
         }
     }
 
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -49,7 +49,10 @@
     /** Cost of each further engine of a divided prompt, as a share of its weight. */
     private static final double HELPER_COST = 0.004;
 
-    /** Cost of a millisecond of waiting on an engine that is read-busy, as a share of the weight for each second. */
+    /**
+     * Cost of each second of reading that an engine has left, as a share of the weight. A part of a divided prompt does
+     * not wait for it, but is passed by later ones while it is read.
+     */
     private static final double WAIT_COST_PER_SECOND = 0.2;
 
     /** Part of an engine's memory that may be planned; the rest is for outputs longer than expected. */
@@ -152,7 +155,7 @@
         double inPass = profile.readMillisInOnePass(tokens / engines, read);
         List<Option> options = new ArrayList<>(candidates.size());
         for (int i = 0; i < candidates.size(); i++) {
-            options.add(option(profile, request, candidates, i, read, inPass, engines > 1, longShare, nowNanos));
+            options.add(option(profile, request, candidates, i, read, inPass, longShare, nowNanos));
         }
         options.sort(Comparator.comparingDouble(option -> option.cost));
         return options;
@@ -176,7 +179,7 @@
             return null;
         }
         double cost = first.cost + first.firstCost;
-        double ready = first.readyMillis;
+        double ready = first.readyMillis(engines > 1);
         List<EngineCandidate> holders = new ArrayList<>(parts - 1);
         List<EngineCandidate> readers = new ArrayList<>(engines - 1);
         for (int i = 0; i < options.size() && holders.size() + readers.size() < engines - 1; i++) {
@@ -188,7 +191,7 @@
             }
             (holds ? holders : readers).add(option.candidate);
             cost += option.cost;
-            ready = Math.max(ready, option.readyMillis);
+            ready = Math.max(ready, option.readyMillis(true));
         }
         if (holders.size() < parts - 1 || readers.size() < engines - parts) {
             return null;
@@ -219,15 +222,13 @@
             int index,
             double read,
             double inPass,
-            boolean divided,
             double longShare,
             long nowNanos) {
         EngineCandidate candidate = candidates.get(index);
         EngineLoad load = candidate.load();
         Option option = new Option(candidate);
         double pace = load.pace();
-        double backlog = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
-        double wait = divided ? Math.max(0, (load.partsUntilNanos() - nowNanos) / NANOS_PER_MILLI) : backlog;
+        double wait = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
         option.waitMillis = wait;
         option.writers = load.writers();
         long context = load.memoryTokens();
@@ -243,19 +244,17 @@
         double cost = 0;
         boolean packed = false;
         for (EngineWork work : load.works()) {
-            if (!work.isWriter()) {
+            cost += harm(work, pass, wait, inPass * pace, nowNanos);
+            if (!work.writer()) {
                 continue;
             }
             packed |= !isLong(work.maxPauseMillis());
-            cost += harm(work, pass, backlog, inPass * pace, nowNanos);
             cost += work.weight()
                     * (retransmitLoss(longerPass, work.maxPauseMillis()) - retransmitLoss(pass, work.maxPauseMillis()));
         }
         double weight = request.weight();
         cost += weight * retransmitLoss(longerPass, request.maxPauseMillis());
-        // Whole prompts that are read later make the new stream pause.
-        option.firstCost = weight * LATE_LOSS * pauseLateness(pass + backlog - wait, request.maxPauseMillis());
-        option.firstCost += freeSlots > SPARE_SLOTS ? 0 : weight * SPARE_SLOT_COST;
+        option.firstCost = freeSlots > SPARE_SLOTS ? 0 : weight * SPARE_SLOT_COST;
         cost += weight * DISTANCE_COST * candidate.distanceMillis();
         if (isShort && !packed) {
             cost += OPENING_COST * Math.min(1, longShare) * weight;
@@ -275,10 +274,12 @@
         if (toFirst > 0) {
             double left = (work.firstEventLimitNanos() - nowNanos) / NANOS_PER_MILLI;
             // Reads that share a pass delay each other's first events, which are sent at its end.
-            double delayed = read;
-            return loss * Math.max(0, lateness(toFirst + delayed, left) - lateness(toFirst, left));
+            double untilLeaving = (work.abandonNanos() - nowNanos) / NANOS_PER_MILLI;
+            double late = lateness(toFirst + read, left) - lateness(toFirst, left);
+            double abandoned = lateness(toFirst + read, untilLeaving) - lateness(toFirst, untilLeaving);
+            return work.weight() * (LATE_LOSS * Math.max(0, late) + (1 - LATE_LOSS) * Math.max(0, abandoned));
         }
-        if (nowNanos >= work.endNanos()) {
+        if (!work.writer() || nowNanos >= work.endNanos()) {
             return 0;
         }
         double limit = work.maxPauseMillis();
@@ -316,5 +317,10 @@
         private Option(EngineCandidate candidate) {
             this.candidate = candidate;
         }
+
+        /** Returns when the engine has read its part; a part of a divided prompt is read first. */
+        private double readyMillis(boolean divided) {
+            return divided ? readyMillis - waitMillis : readyMillis;
+        }
     }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineWork.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineWork.java
@@ -8,10 +8,11 @@
  * @param firstEventNanos predicted moment of the first event
  * @param endNanos predicted moment of the last event
  * @param firstEventLimitNanos moment after which the first event is late
+ * @param abandonNanos moment at which the caller leaves if there is no first event
  * @param maxPauseMillis longest pause in milliseconds that is on time
- * @param weight importance, see {@link PromptRequest#weight}; 0 for a helper's part, which writes nothing
+ * @param weight importance of the request, see {@link PromptRequest#weight}
  * @param memoryTokens tokens that it holds in the engine's memory
- * @param divided whether several engines read the prompt; engines read such parts ahead of whole prompts
+ * @param writer whether the engine writes the answer; others only read a part of the prompt
  */
 public record EngineWork(
         int owner,
@@ -19,14 +20,11 @@
         long firstEventNanos,
         long endNanos,
         long firstEventLimitNanos,
+        long abandonNanos,
         double maxPauseMillis,
         double weight,
         long memoryTokens,
-        boolean divided) {
-    boolean isWriter() {
-        return weight > 0;
-    }
-
+        boolean writer) {
     /** Returns this work with its first event later by the given time in nanoseconds. */
     EngineWork delayed(long nanos) {
         return new EngineWork(
@@ -35,9 +33,10 @@
                 firstEventNanos + nanos,
                 endNanos + nanos,
                 firstEventLimitNanos,
+                abandonNanos,
                 maxPauseMillis,
                 weight,
                 memoryTokens,
-                divided);
+                writer);
     }
 }
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/AlternatingLoad.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/AlternatingLoad.java
@@ -12,6 +12,10 @@
     private static final double PHASE_MILLIS = 10_000;
     private static final int PHASES = 3;
     private static final double DRAIN_MILLIS = 20_000;
+
+    /** Share of its weight that a late answer is worth to its caller. */
+    private static final double LATE_SHARE = 0.25;
+
     private static final long MILLI = 1_000_000L;
     private static final Mix SHORT_PHASE = new Mix(75, 0.8, 0.04);
     private static final Mix LONG_PHASE = new Mix(10, 2.1, 2.1);
@@ -41,7 +45,10 @@
         }
     }
 
-    /** Returns the share of the callers' weight that is on time, by the placer or by the least loaded engine. */
+    /**
+     * Returns what callers get, by the placer or by the least loaded engine: the share of their weight that is on time,
+     * and a quarter of what is late. Callers that wait too long for the first event leave.
+     */
     double play(boolean byPlacer) {
         double now = 0;
         while (now < PHASES * PHASE_MILLIS) {
@@ -56,7 +63,9 @@
         double all = lost;
         for (Stream stream : streams) {
             all += stream.weight;
-            onTime += stream.isOnTime() ? stream.weight : 0;
+            if (stream.eventsLeft() <= 0) {
+                onTime += stream.isOnTime() ? stream.weight : LATE_SHARE * stream.weight;
+            }
         }
         return onTime / all;
     }
@@ -65,7 +74,11 @@
         simulations.forEach(engine -> engine.runTo(now));
         nowNanos = (long) (now * MILLI) + MILLI;
         running.removeIf(run -> {
-            if (run.stream.eventsLeft() <= 0) {
+            boolean left = run.stream.isAbandoned(now);
+            if (left) {
+                simulations.forEach(engine -> engine.cancel(run.stream));
+            }
+            if (left || run.stream.eventsLeft() <= 0) {
                 candidates.forEach(candidate -> candidate.load().remove(0, run.number, 0, nowNanos));
                 return true;
             }
@@ -75,7 +88,7 @@
 
     private void place(PromptRequest request, double now, boolean byPlacer) {
         int events = (int) Math.max(1, request.outputTokens() / profile.stride());
-        Stream stream = new Stream(now, request.firstEventMillis(), request.maxPauseMillis(), request.weight(), events);
+        Stream stream = new Stream(now, request, events);
         Placement placement = byPlacer
                 ? placer.place(profile, request, candidates, demand.share(candidates.size()), nowNanos)
                         .getOrNull()
@@ -91,9 +104,9 @@
         if (EnginePlacer.isLong(request.maxPauseMillis())) {
             demand.add(placement.readMillis() * parts);
         }
-        add(placement.first(), placement, request, stream, request.weight(), parts);
+        add(placement.first(), placement, request, stream, true, parts);
         simulations.get(candidates.indexOf(placement.first())).write(stream);
-        placement.helpers().forEach(helper -> add(helper, placement, request, stream, 0, parts));
+        placement.helpers().forEach(helper -> add(helper, placement, request, stream, false, parts));
     }
 
     private void add(
@@ -101,7 +114,7 @@
             Placement placement,
             PromptRequest request,
             Stream stream,
-            double weight,
+            boolean writer,
             int parts) {
         long first = nowNanos + (long) (placement.firstEventMillis() * MILLI);
         long end = first + (long) (profile.writeMillis(request.outputTokens(), 4) * MILLI);
@@ -114,11 +127,13 @@
                                 first,
                                 end,
                                 limit,
+                                nowNanos + (long) (request.abandonMillis() * MILLI),
                                 request.maxPauseMillis(),
-                                weight,
+                                request.weight(),
                                 request.promptTokens(),
-                                parts > 1),
+                                writer),
                         placement.readMillis(),
+                        parts > 1,
                         nowNanos);
         simulations
                 .get(candidates.indexOf(engine))
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
@@ -63,35 +63,63 @@
     @Test
     void refusesWhatCannotBeginInTimeAndNamesTheWait() {
         for (EngineCandidate engine : engines) {
-            engine.load().add(work(4_000, 5_000, 1000, 200_000, true), 4_000, 0);
+            engine.load().add(work(4_000, 5_000, 1000, 200_000), 4_000, false, 0);
         }
-        Either<Long, Placement> answer = placer.place(PROFILE, shortPrompt(), engines, 0, 0);
+        Either<Long, Placement> answer = placer.place(PROFILE, shortPrompt(), engines.subList(0, 1), 0, 0);
         assertThat(answer.isLeft()).isTrue();
         assertThat(answer.getLeft()).isAtLeast(3_000L);
         assertThat(answer.getLeft()).isAtMost(4_000L);
     }
 
-    /** Guards against a short prompt that waits, or is refused, because all engines read long prompts as a whole. */
+    /** Guards against a short prompt that waits, or is refused, because all engines read long prompts. */
     @Test
-    void shortPromptIsDividedWhereItWouldWaitBehindWholePrompts() {
+    void shortPromptIsDividedWhereItWouldWaitBehindLongOnes() {
         for (EngineCandidate engine : engines) {
-            engine.load().add(work(4_000, 5_000, 1000, 200_000, false), 4_000, 0);
+            engine.load().add(work(4_000, 5_000, 1000, 200_000), 4_000, false, 0);
         }
         Placement placed = place(shortPrompt());
         assertThat(placed.helpers()).hasSize(1);
         assertThat(placed.firstEventMillis()).isLessThan(300.0);
     }
 
-    /** Guards against predictions that overlook that a divided prompt delays the whole prompts of its engines. */
+    /** Guards against predictions that overlook that a divided prompt delays all that its engines have to read. */
     @Test
-    void dividedPromptDelaysWholeOnes() {
+    void dividedPromptDelaysWhatWaits() {
         EngineLoad load = engines.get(0).load();
-        load.add(work(1_000, 2_000, 1000, 200_000, false), 1_000, 0);
-        load.add(work(500, 2_000, 1000, 100_000, true), 500, 0);
-        assertThat(load.works().get(0).firstEventNanos()).isEqualTo(1_500 * MILLI);
-        assertThat(load.works().get(1).firstEventNanos()).isEqualTo(500 * MILLI);
-        assertThat(load.partsUntilNanos()).isEqualTo(500 * MILLI);
-        assertThat(load.readUntilNanos()).isEqualTo(1_500 * MILLI);
+        load.add(work(1_000, 2_000, 1000, 200_000), 1_000, false, 0);
+        load.add(work(500, 2_000, 1000, 100_000), 500, true, 0);
+        load.add(work(300, 2_000, 1000, 100_000), 300, true, 0);
+        assertThat(load.works().get(0).firstEventNanos()).isEqualTo(1_800 * MILLI);
+        assertThat(load.works().get(1).firstEventNanos()).isEqualTo(800 * MILLI);
+        assertThat(load.works().get(2).firstEventNanos()).isEqualTo(300 * MILLI);
+        assertThat(load.readUntilNanos()).isEqualTo(1_800 * MILLI);
+    }
+
+    /** Guards against a long prompt that is read first at the cost of one whose caller would then leave. */
+    @Test
+    void longPromptAvoidsEnginesWhoseCallersWouldLeave() {
+        for (EngineCandidate engine : engines.subList(0, 4)) {
+            engine.load()
+                    .add(
+                            new EngineWork(
+                                    OWNER,
+                                    7,
+                                    3_500 * MILLI,
+                                    5_000 * MILLI,
+                                    3_000 * MILLI,
+                                    4_000 * MILLI,
+                                    1000,
+                                    200_000,
+                                    5_000,
+                                    true),
+                            3_500,
+                            false,
+                            0);
+        }
+        for (InstanceId id : ids(place(longPrompt(150_000)))) {
+            assertThat(Integer.parseInt(id.value().substring("engine-".length())))
+                    .isAtLeast(4);
+        }
     }
 
     /** Plays a burst that fills all but the last slots; guards against refusing callers while slots are free. */
@@ -114,7 +142,7 @@
     void longPromptAvoidsEnginesWithShortStreams() {
         for (int i = 0; i < 4; i++) {
             for (int j = 0; j < 4; j++) {
-                engines.get(i).load().add(work(-1, 3_000, 250, 18_000, false), 0, 0);
+                engines.get(i).load().add(work(-1, 3_000, 250, 18_000), 0, false, 0);
             }
         }
         Placement placed = place(longPrompt(150_000));
@@ -152,15 +180,17 @@
                                 first,
                                 first + 1_700 * MILLI,
                                 first * 2,
+                                first * 4,
                                 request.maxPauseMillis(),
                                 request.weight(),
                                 request.promptTokens(),
-                                !placed.helpers().isEmpty()),
+                                true),
                         placed.readMillis(),
+                        !placed.helpers().isEmpty(),
                         0);
     }
 
-    private EngineWork work(long firstMillis, long endMillis, double pause, double weight, boolean divided) {
+    private EngineWork work(long firstMillis, long endMillis, double pause, double weight) {
         number++;
         return new EngineWork(
                 OWNER,
@@ -168,10 +198,11 @@
                 firstMillis * MILLI,
                 endMillis * MILLI,
                 (firstMillis + 500) * MILLI,
+                (firstMillis + 8_000) * MILLI,
                 pause,
                 weight,
                 5_000,
-                divided);
+                true);
     }
 
     private static Set<InstanceId> ids(Placement placed) {
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/EngineSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/EngineSimulation.java
@@ -17,14 +17,13 @@
         this.profile = profile;
     }
 
-    /** Adds what must be read for a stream; parts of divided prompts are read before whole prompts. */
+    /**
+     * Adds what must be read for a stream. A part of a divided prompt is read ahead of all else, also of parts that came
+     * earlier; whole prompts are read in the order of their arrival.
+     */
     void read(Stream stream, long tokens, double millis, boolean divided) {
         stream.partsLeft++;
-        int index = parts.size();
-        if (divided) {
-            index = (int) parts.stream().takeWhile(part -> part.divided).count();
-        }
-        parts.add(index, new Part(stream, tokens, millis, divided));
+        parts.add(divided ? 0 : parts.size(), new Part(stream, tokens, millis));
     }
 
     /** Adds a stream that this engine writes. */
@@ -32,6 +31,12 @@
         streams.add(stream);
     }
 
+    /** Forgets a stream whose caller has left. */
+    void cancel(Stream stream) {
+        parts.removeIf(part -> part.stream == stream);
+        streams.remove(stream);
+    }
+
     /** Runs passes until the given time in milliseconds. */
     void runTo(double untilMillis) {
         while (nowMillis < untilMillis) {
@@ -76,6 +81,7 @@
     static final class Stream {
         final double arrivedMillis;
         final double firstEventLimit;
+        final double abandonMillis;
         final double maxPause;
         final double weight;
         private int eventsLeft;
@@ -83,11 +89,12 @@
         private double lastEvent = -1;
         private boolean late;
 
-        Stream(double arrivedMillis, double firstEventLimit, double maxPause, double weight, int events) {
+        Stream(double arrivedMillis, PromptRequest request, int events) {
             this.arrivedMillis = arrivedMillis;
-            this.firstEventLimit = firstEventLimit;
-            this.maxPause = maxPause;
-            this.weight = weight;
+            this.firstEventLimit = request.firstEventMillis();
+            this.abandonMillis = request.abandonMillis();
+            this.maxPause = request.maxPauseMillis();
+            this.weight = request.weight();
             this.eventsLeft = events;
         }
 
@@ -96,6 +103,11 @@
             return !late && eventsLeft <= 0;
         }
 
+        /** Tells whether the caller has left for want of a first event. */
+        boolean isAbandoned(double now) {
+            return lastEvent < 0 && now > arrivedMillis + abandonMillis;
+        }
+
         int eventsLeft() {
             return eventsLeft;
         }
@@ -110,13 +122,11 @@
 
     private static final class Part {
         private final Stream stream;
-        private final boolean divided;
         private long tokens;
         private double millis;
 
-        private Part(Stream stream, long tokens, double millis, boolean divided) {
+        private Part(Stream stream, long tokens, double millis) {
             this.stream = stream;
-            this.divided = divided;
             this.tokens = Math.max(1, tokens);
             this.millis = millis;
         }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineChoice.java
@@ -152,6 +152,7 @@
                 placement.firstEventMillis(),
                 placement.firstEventMillis() + write,
                 prompt.firstEventMillis(),
+                prompt.abandonMillis(),
                 prompt.maxPauseMillis(),
                 prompt.weight(),
                 placement.partTokens() + prompt.outputTokens(),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
@@ -47,11 +47,13 @@
                                         after(now, notice.firstEventMillis()),
                                         after(now, notice.endMillis()),
                                         after(now, notice.firstEventLimitMillis()),
+                                        after(now, notice.abandonMillis()),
                                         notice.maxPauseMillis(),
-                                        first ? notice.weight() : 0,
+                                        notice.weight(),
                                         memoryTokens(notice, i),
-                                        ids.size() > 1),
+                                        first),
                                 notice.readMillis() * target.load().pace(),
+                                ids.size() > 1,
                                 now);
             }
         }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -162,6 +162,7 @@
                         current,
                         head -> context.dialect().isAnswerTo(state.caller().id(), head));
         relay.exchange(exchange);
+        log.placed(chosen, attempts);
         armStall(StallLimits.untilFirstEvent(chosen.predictedMillis()));
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -14,7 +14,7 @@
 /** Datagrams between entries, in MessagePack. */
 final class PeerCodec {
     /** Format of the datagrams; others are ignored, so that entries of two versions can run side by side. */
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
 
     private static final int HELLO = 0;
     private static final int STARTED = 1;
@@ -47,6 +47,7 @@
             packer.packFloat((float) notice.firstEventMillis());
             packer.packFloat((float) notice.endMillis());
             packer.packFloat((float) notice.firstEventLimitMillis());
+            packer.packFloat((float) notice.abandonMillis());
             packer.packFloat((float) notice.maxPauseMillis());
             packer.packFloat((float) notice.weight());
             packer.packLong(notice.memoryTokens());
@@ -95,6 +96,7 @@
                 unpacker.unpackFloat(),
                 unpacker.unpackFloat(),
                 unpacker.unpackFloat(),
+                unpacker.unpackFloat(),
                 unpacker.unpackLong(),
                 unpacker.unpackInt(),
                 unpacker.unpackLong());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -15,6 +15,19 @@
         this.relay = relay;
     }
 
+    /** Notes where an attempt is sent, as the process may end before the attempt does. */
+    void placed(Assignment assignment, int attempts) {
+        context.log()
+                .event("attempt.placed")
+                .with("request", state.caller().id())
+                .with("target", assignment.target().instance().id())
+                .with("helper_addresses", addresses(assignment))
+                .with("attempt", attempts)
+                .with("predicted_ms", (long) assignment.predictedMillis())
+                .with("prompt_tokens", promptTokens())
+                .write();
+    }
+
     /** Notes what became of an attempt that did not succeed. */
     void attempt(Assignment assignment, int attempts, String event, String reason) {
         context.metrics().count(event.replace('.', '_'));
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/WorkNotice.java
@@ -13,6 +13,7 @@
  * @param firstEventMillis predicted time until the first event, in milliseconds
  * @param endMillis predicted time until the last event, in milliseconds
  * @param firstEventLimitMillis time until the first event is late, in milliseconds
+ * @param abandonMillis time until the caller leaves if there is no first event, in milliseconds
  * @param maxPauseMillis longest pause between events that is on time, in milliseconds
  * @param weight importance of the request
  * @param memoryTokens tokens that the first engine holds in memory
@@ -26,6 +27,7 @@
         double firstEventMillis,
         double endMillis,
         double firstEventLimitMillis,
+        double abandonMillis,
         double maxPauseMillis,
         double weight,
         long memoryTokens,
@@ -45,6 +47,7 @@
                 firstEvent,
                 endMillis - elapsedMillis,
                 firstEventLimitMillis - elapsedMillis,
+                abandonMillis - elapsedMillis,
                 maxPauseMillis,
                 weight,
                 memoryTokens,
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/OwnWorkTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/OwnWorkTest.java
@@ -21,6 +21,7 @@
         assertThat(told.firstEventMillis()).isEqualTo(300.0);
         assertThat(told.endMillis()).isEqualTo(1_300.0);
         assertThat(told.firstEventLimitMillis()).isEqualTo(800.0);
+        assertThat(told.abandonMillis()).isEqualTo(2_300.0);
         assertThat(told.memoryTokens()).isEqualTo(9_000);
     }
 
@@ -50,6 +51,7 @@
                 firstEventMillis,
                 firstEventMillis + 1_000,
                 firstEventMillis + 500,
+                firstEventMillis + 2_000,
                 250,
                 18_000,
                 9_000,
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -12,7 +12,18 @@
 final class PeerCodecTest {
     private static final PeerCodec.PeerId SENDER = new PeerCodec.PeerId(new InstanceId("entry-1"), 42);
     private static final WorkNotice NOTICE = new WorkNotice(
-            7, List.of(new InstanceId("a"), new InstanceId("b")), 1.5, 100, 2_000, 300, 250, 18_000, 6_000, 1, 5_000);
+            7,
+            List.of(new InstanceId("a"), new InstanceId("b")),
+            1.5,
+            100,
+            2_000,
+            300,
+            900,
+            250,
+            18_000,
+            6_000,
+            1,
+            5_000);
 
     /** Guards against a field that changes on its way between two entries. */
     @Test
