--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
@@ -30,11 +30,17 @@
 
 /** The parts of a gateway and how they are joined. All state is confined to one event loop. */
 public final class GatewayParts {
-    /** Wait of a watch on the desired state; it bounds the age of what is known, which {@link #KEY_MARGIN} relies on. */
-    private static final Duration CATALOG_WATCH = Duration.ofSeconds(1);
-
-    /** Wait of a watch on the targets; a silent connection is noticed after this time and that of a call. */
-    private static final Duration TARGETS_WATCH = Duration.ofSeconds(2);
+    /**
+     * Wait of a watch on the desired state. Each watch is paid for; what is known is at most twice this old, which must
+     * stay well below the time in which a revoked key is refused (5 s on the known installations).
+     */
+    private static final Duration CATALOG_WATCH = Duration.ofMillis(1_500);
+
+    /**
+     * Wait of a watch on the targets. A silent connection is noticed after this time and that of a call, before the time
+     * (3 s or more) after which the instance counts as connected again.
+     */
+    private static final Duration TARGETS_WATCH = Duration.ofMillis(2_500);
 
     /** Wait of a watch on the entries, which change rarely. */
     private static final Duration ENTRIES_WATCH = Duration.ofSeconds(25);
