Answer chat completions of the engine stand-in in their own format

Unmodified OpenAI clients expect choices[].message, or delta in a stream, with id, object, created, model and usage; the stand-in sent text for both kinds of completion. CompletionFormatTest checks the fields.

--- a/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/endiveshed/standins/EngineStandIn.java
@@ -15,6 +15,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,9 @@
     /** Upper bound of the time that a stand-in without delay needs, for predictions; a real engine needs far longer. */
     public static final CostModel.Coefficients COST = new CostModel.Coefficients(40, 0, 500);
 
+    /** End of the path of chat completions. */
+    private static final String CHAT = "/chat/completions";
+
     private static final String REQUESTS = "/v1/requests";
     private static final long KV_CAPACITY_TOKENS = 4_000_000;
     private static final int CHARACTERS_PER_TOKEN = 4;
@@ -165,8 +169,11 @@
         boolean stream = body.has("stream") && body.get("stream").getAsBoolean();
         String named = request.headers().get("x-request-id");
         String id = named == null ? "unnamed-" + unnamed.incrementAndGet() : named;
-        Generation generation =
-                new Generation(id, response, prompt, answer(prompt, tokens).split(" "), stream);
+        String model = body.has("model") ? body.get("model").getAsString() : "unnamed";
+        CompletionFormat format = new CompletionFormat(
+                id, model, request.path().endsWith(CHAT), Instant.now().getEpochSecond());
+        Generation generation = new Generation(
+                id, response, format, prompt, answer(prompt, tokens).split(" "), stream);
         running.put(id, generation);
         response.onDisconnect(() -> {
             if (!ignoringDisconnects) {
@@ -193,15 +200,23 @@
     private final class Generation {
         private final String id;
         private final ResponseSink response;
+        private final CompletionFormat format;
         private final long promptTokens;
         private final String[] words;
         private final boolean stream;
         private int next;
         private boolean done;
 
-        Generation(String id, ResponseSink response, String prompt, String[] words, boolean stream) {
+        Generation(
+                String id,
+                ResponseSink response,
+                CompletionFormat format,
+                String prompt,
+                String[] words,
+                boolean stream) {
             this.id = id;
             this.response = response;
+            this.format = format;
             this.promptTokens = prompt.length() / CHARACTERS_PER_TOKEN;
             this.words = words;
             this.stream = stream;
@@ -244,7 +259,8 @@
             }
             if (stream) {
                 produced.incrementAndGet();
-                response.write(event(words[next], next), this::continueLater);
+                String text = next == 0 ? words[next] : " " + words[next];
+                response.write(format.event(text, next == words.length - 1), this::continueLater);
                 next++;
                 return;
             }
@@ -265,23 +281,11 @@
             done = true;
             running.remove(id, this);
             if (stream) {
-                response.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+                response.write(CompletionFormat.DONE, () -> {});
                 response.end();
             } else {
-                response.respond(200, List.of(JSON), whole().getBytes(StandardCharsets.UTF_8));
+                response.respond(200, List.of(JSON), format.whole(String.join(" ", words), promptTokens, words.length));
             }
         }
-
-        private byte[] event(String word, int index) {
-            JsonObject choice = new JsonObject();
-            choice.addProperty("text", index == 0 ? word : " " + word);
-            return ("data: {\"choices\":[" + choice + "]}\n\n").getBytes(StandardCharsets.UTF_8);
-        }
-
-        private String whole() {
-            JsonObject choice = new JsonObject();
-            choice.addProperty("text", String.join(" ", words));
-            return "{\"choices\":[" + choice + "]}";
-        }
     }
 }
