Report readiness of both interfaces by one rule

Cause: the own interface answered 200 on /readyz as soon as a configuration was in effect, 0.2 s before the first target was linked, so the first requests after a start failed with no_target. The gateway had the right rule as code of its own.

Change: Readiness says what is missing (configuration, target) and serves both.

--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/readiness/package-info.java
@@ -0,0 +1,2 @@
+/** When a process says that it can serve. */
+package io.endiveshed.coordination.readiness;
--- /dev/null
+++ b/coordination/src/test/java/io/endiveshed/coordination/readiness/ReadinessTest.java
@@ -0,0 +1,20 @@
+package io.endiveshed.coordination.readiness;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against callers that are sent to a process which can only refuse them. */
+final class ReadinessTest {
+    @Test
+    void isReadyWithAConfigurationAndATarget() {
+        assertThat(new Readiness(true, true, false).isReady()).isTrue();
+    }
+
+    @Test
+    void namesWhatIsMissing() {
+        assertThat(new Readiness(false, true, false).obstacle()).hasValue("no configuration is in effect yet");
+        assertThat(new Readiness(true, false, false).obstacle()).hasValue("no target is known yet");
+        assertThat(new Readiness(true, true, true).obstacle()).hasValue("the process is stopping");
+    }
+}
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -15,6 +15,8 @@
 import io.endiveshed.coordination.config.Configuration;
 import io.endiveshed.coordination.config.ModelConfig;
 import io.endiveshed.coordination.config.ServiceConfig;
+import io.endiveshed.coordination.membership.TargetState;
+import io.endiveshed.coordination.readiness.Readiness;
 import io.endiveshed.coordination.routing.RoutingRequest;
 import io.endiveshed.net.http.ErrorResponses;
 import io.endiveshed.net.http.HttpHandler;
@@ -108,7 +110,15 @@
     }
 
     private void ready(ResponseSink response) {
-        requireConfiguration();
+        boolean configured = blackboard.configuration().read() != Configuration.NONE;
+        boolean hasTarget = blackboard.fleet().read().targets().stream()
+                .anyMatch(target -> target.state().compareTo(TargetState.LEAVING) < 0);
+        new Readiness(configured, hasTarget, false).obstacle().ifPresent(obstacle -> {
+            throw new FailureException(Failure.of(ErrorKind.NO_TARGET)
+                    .message(obstacle)
+                    .retryAfter(NO_CONFIGURATION_RETRY)
+                    .build());
+        });
         text(response, "ready\n");
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayParts.java
@@ -5,6 +5,7 @@
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.Cell;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.readiness.Readiness;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.retry.RetryShare;
 import io.endiveshed.coordination.service.AccessPolicy;
@@ -158,15 +159,18 @@
         loops.shutdownGracefully(0, BEAT.toMillis(), TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    /** Tells whether callers should come here: requests can be decided and there is a target for them. */
+    /** Tells whether callers should come here: requests can be served, and keys can be judged where they are asked for. */
     public boolean isReady() {
-        return !leaving
-                && canServe()
-                && !(catalog.read().keysRequired() && access.isTooOldForKeys(catalogFollower.ageMillis()));
+        boolean judgesKeys = !catalog.read().keysRequired() || !access.isTooOldForKeys(catalogFollower.ageMillis());
+        return judgesKeys && readiness(leaving).isReady();
     }
 
     private boolean canServe() {
-        return catalog.read().isKnown() && !targets.isEmpty();
+        return readiness(false).isReady();
+    }
+
+    private Readiness readiness(boolean stops) {
+        return new Readiness(catalog.read().isKnown(), !targets.isEmpty(), stops);
     }
 
     /** Stops being ready. */
