Remove the unused pace of engines and count of opened connections

Nothing set the pace since it was added, and nothing read the count. Slow engines are found by their silence only, as docs/platform.md says.

--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineLoad.java
@@ -14,23 +14,12 @@
 
     private final List<EngineWork> works = new ArrayList<>();
     private long readUntilNanos;
-    private double pace = 1;
 
     /** Returns the moment at which the engine will probably have read all prompts that it was given. */
     long readUntilNanos() {
         return readUntilNanos;
     }
 
-    /** Returns how many times slower than its cost model the engine is; 1 if it keeps to the model. */
-    public double pace() {
-        return pace;
-    }
-
-    /** Sets how many times slower than its cost model the engine is. */
-    public void pace(double value) {
-        pace = value;
-    }
-
     /** Returns the work that is not finished. */
     public List<EngineWork> works() {
         return works;
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -227,7 +227,6 @@
         EngineCandidate candidate = candidates.get(index);
         EngineLoad load = candidate.load();
         Option option = new Option(candidate);
-        double pace = load.pace();
         double wait = Math.max(0, (load.readUntilNanos() - nowNanos) / NANOS_PER_MILLI);
         option.waitMillis = wait;
         option.writers = load.writers();
@@ -235,16 +234,16 @@
         int freeSlots = Math.min(profile.slots(), candidate.slots()) - option.writers;
         option.hasSlot = freeSlots > 0;
         option.freeTokens = (long) (profile.memoryTokens() * MEMORY_SHARE) - context;
-        double pass = profile.passMillis(option.writers, context) * pace;
-        double longerPass = profile.passMillis(option.writers + 1, context + request.promptTokens()) * pace;
+        double pass = profile.passMillis(option.writers, context);
+        double longerPass = profile.passMillis(option.writers + 1, context + request.promptTokens());
         // A read starts with the next pass, and other reads often lengthen the current one.
         double startup = option.writers > 0 ? pass : 0;
-        option.readyMillis = wait + startup + read * pace;
+        option.readyMillis = wait + startup + read;
         boolean isShort = !isLong(request.maxPauseMillis());
         double cost = 0;
         boolean packed = false;
         for (EngineWork work : load.works()) {
-            cost += harm(work, pass, wait, inPass * pace, nowNanos);
+            cost += harm(work, pass, wait, inPass, nowNanos);
             if (!work.writer()) {
                 continue;
             }
@@ -262,7 +261,6 @@
         double place = (double) index / candidates.size();
         cost += ORDER_COST * weight * (isShort ? place : 1 - place);
         cost += WAIT_COST_PER_SECOND * weight * wait / 1000;
-        cost += (pace - 1) * weight * ORDER_COST;
         option.cost = cost;
         return option;
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineWorks.java
@@ -52,7 +52,7 @@
                                         notice.weight(),
                                         memoryTokens(notice, i),
                                         first),
-                                notice.readMillis() * target.load().pace(),
+                                notice.readMillis(),
                                 ids.size() > 1,
                                 now);
             }
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -13,7 +13,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Predicate;
 
 /**
@@ -28,7 +27,6 @@
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final ConcurrentLinkedDeque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
-    private final LongAdder opened = new LongAdder();
     private volatile boolean stopped;
 
     /** Makes a client whose connections run on the given event loops. */
@@ -77,11 +75,6 @@
         return exchange;
     }
 
-    /** Returns the number of connections that were opened, for metrics. */
-    public long openedConnections() {
-        return opened.sum();
-    }
-
     /** Closes idle connections, and used ones after their calls. */
     public void stop() {
         stopped = true;
@@ -98,7 +91,6 @@
             }
             connection.close();
         }
-        opened.increment();
         bootstrap.connect().addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
                 exchange.begin(connected.channel().pipeline().get(ClientConnection.class));
