--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -12,7 +12,8 @@
  * prompt that is read in one pass with short streams makes all of them pause, and a short prompt behind a long one is
  * late. Short prompts are packed on engines that already write short streams, taken from one end of a common order;
  * long prompts are divided among as few idle engines as meet their objective, taken from the other end. The boundary
- * moves with the load and needs no agreement.
+ * moves with the load and needs no agreement. Engines read a part of a divided prompt before all that waits, so a short
+ * prompt that would wait behind a long one is divided between two engines.
  *
  * <pre>{@code
  * Either<Long, Placement> placed = placer.place(profile, request, candidates, nowNanos);
@@ -271,7 +272,7 @@
         double toFirst = (work.firstEventNanos() - nowNanos) / NANOS_PER_MILLI;
         if (toFirst > 0) {
             double left = (work.firstEventLimitNanos() - nowNanos) / NANOS_PER_MILLI;
-            // Reads that share a pass delay each other's first events, which are sent at its end.
+            // A divided part is read first, and reads that share a pass end together: the work waits for the new read.
             double untilLeaving = (work.abandonNanos() - nowNanos) / NANOS_PER_MILLI;
             double late = lateness(toFirst + read, left) - lateness(toFirst, left);
             double abandoned = lateness(toFirst + read, untilLeaving) - lateness(toFirst, untilLeaving);
@@ -305,7 +306,10 @@
     private static final class Option {
         private final EngineCandidate candidate;
         private double cost;
+
+        /** What is added to the cost if the engine writes the answer. */
         private double firstCost;
+
         private double waitMillis;
         private double readyMillis;
         private int writers;
