Test that repeated notices of work count once

An entry repeats its open work to an entry that it hears of again. The check by owner and number keeps the loads right; without it the engines would seem full. EngineWorksTest fails without the check (writers 2 instead of 1).

--- /dev/null
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/EngineWorksTest.java
@@ -0,0 +1,77 @@
+package io.endiveshed.gateway.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.engine.EngineLoad;
+import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.coordination.service.TargetInstance;
+import io.endiveshed.net.http.HttpClientOptions;
+import io.endiveshed.ports.platform.FeedBatch;
+import io.endiveshed.ports.platform.FeedEvent;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class EngineWorksTest {
+    private static final int OTHER_ENTRY = 1;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Targets targets = new Targets(
+            loops,
+            new HttpClientOptions(Duration.ofMillis(350), Duration.ofSeconds(4), Duration.ofSeconds(1)),
+            EventLog.to(new PrintStream(new ByteArrayOutputStream())));
+    private final EngineWorks works = new EngineWorks(targets);
+
+    EngineWorksTest() {
+        TargetInstance engine = new TargetInstance(
+                new InstanceId("engine-1"),
+                new ServiceName("model"),
+                new Endpoint("127.0.0.1", 1),
+                new FailureDomain("north"),
+                8,
+                false,
+                1);
+        targets.listed(new FeedBatch<>(List.of(new FeedEvent<>("engine-1", 1, Optional.of(engine))), 1));
+    }
+
+    @AfterEach
+    void stopLoops() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against engines that seem full because an entry repeats its notices after a silence. */
+    @Test
+    void repeatedNoticeCountsOnce() {
+        works.started(OTHER_ENTRY, OwnWorkTest.notice(7, 400, 1_000));
+        works.started(OTHER_ENTRY, OwnWorkTest.notice(7, 100, 700));
+        assertThat(load().writers()).isEqualTo(1);
+        works.ended(OTHER_ENTRY, 7, 0);
+        assertThat(load().writers()).isEqualTo(0);
+    }
+
+    /** Guards against work of two entries that is mixed up because they gave it the same number. */
+    @Test
+    void equalNumbersOfTwoEntriesAreTwoPrompts() {
+        works.started(OTHER_ENTRY, OwnWorkTest.notice(7, 400, 1_000));
+        works.started(EngineWorks.SELF, OwnWorkTest.notice(7, 400, 1_000));
+        assertThat(load().writers()).isEqualTo(2);
+        works.ownerGone(OTHER_ENTRY);
+        assertThat(load().writers()).isEqualTo(1);
+    }
+
+    private EngineLoad load() {
+        return targets.find(new InstanceId("engine-1")).load();
+    }
+}
