Pace the watches of a feed whose objects change one after the other

Cause: a watch returned after each single change, and the next one started at once. Ruled out: the watches that wait (1.5 calls a second, as documented) and the entries' own registrations (4 calls). A change of a quiet fleet is still known at once. Before: FeedFollowerTest with 172 changes in 4.3 s, 174 calls (at most 14 allowed). After: passes.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -35,7 +35,7 @@
 
     private final String name;
     private final ObjectFeed<T> feed;
-    private final Duration watchTimeout;
+    private final Pace pace;
     private final EventLoop loop;
     private final Supplier<ClockReading> clock;
     private final EventLog log;
@@ -49,14 +49,14 @@
     FeedFollower(
             String name,
             ObjectFeed<T> feed,
-            Duration watchTimeout,
+            Pace pace,
             EventLoop loop,
             Supplier<ClockReading> clock,
             EventLog log,
             Listener<T> listener) {
         this.name = name;
         this.feed = feed;
-        this.watchTimeout = watchTimeout;
+        this.pace = pace;
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -85,7 +85,7 @@
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(start, result, listener::listed)));
         } else {
-            feed.watch(version, watchTimeout)
+            feed.watch(version, pace.watchTimeout())
                     .thenAccept(result -> loop.execute(() -> handleResult(start, result, listener::changed)));
         }
     }
@@ -113,15 +113,22 @@
             listener.storeRegained();
         }
         apply.accept(batch);
-        boolean isEarlyAndEmpty =
-                isWatch && batch.events().isEmpty() && start.millisUntil(clock.get()) < EMPTY_WATCH_DELAY_MILLIS;
-        if (isEarlyAndEmpty) {
-            loop.schedule(this::requestNext, EMPTY_WATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
+        if (delayMillis > 0) {
+            loop.schedule(this::requestNext, delayMillis, TimeUnit.MILLISECONDS);
         } else {
             requestNext();
         }
     }
 
+    /** Returns the delay in milliseconds before the next watch, after one that took the given time. */
+    private long delayAfterWatchMillis(FeedBatch<T> batch, long elapsedMillis) {
+        if (batch.events().isEmpty()) {
+            return elapsedMillis < EMPTY_WATCH_DELAY_MILLIS ? EMPTY_WATCH_DELAY_MILLIS : 0;
+        }
+        return pace.minInterval().toMillis() - elapsedMillis;
+    }
+
     private void handleError(StoreError error) {
         if (error == StoreError.TOO_OLD) {
             log.change("store.history-gone")
@@ -145,6 +152,15 @@
         retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
     }
 
+    /**
+     * Rate at which a follower calls the store.
+     *
+     * @param watchTimeout maximum duration of a watch in which nothing changes
+     * @param minInterval minimum time between the starts of two watches if the first one returned changes. Without it, a
+     *     fleet whose objects change one after the other costs one call for each object and follower.
+     */
+    record Pace(Duration watchTimeout, Duration minInterval) {}
+
     /** Receives the objects that a follower reads, on the event loop of the follower. */
     interface Listener<T> {
         /** Called with all objects of the kind; objects that are not in the batch do not exist. */
