Bound what a target may send without ending its answer

Cause: three loops had no bound. The connection skipped interim responses and responses to other requests for as long as they came; the splitter of event streams kept an event of any length and copied all of it at each read, so that 16 MB took seconds of the only event loop; a call whose body was too long completed its result and went on reading, as its timeout no longer cancelled the exchange. Buffered answers were bounded one by one and not in their sum. Ruled out by the same test before the change: status lines, header lines, chunk sizes, trailers, control characters before a head (bounded by the codec) and buffered bodies (16 MB each). The connection is closed at once, the target counts as failed, the caller gets a retry or 502.

--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param peers UDP address that receives placement notices of other gateways
  * @param platform address of the platform's store
  * @param bounds time limits and retry budget set by the operator
+ * @param responses limits of the responses of targets
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -25,7 +26,8 @@
         InetSocketAddress metrics,
         InetSocketAddress peers,
         InetSocketAddress platform,
-        Bounds bounds) {
+        Bounds bounds,
+        ResponseLimits responses) {
     /**
      * Time limits and retry budget.
      *
@@ -41,4 +43,21 @@
             Duration stopGrace,
             double retryShare,
             long retryAllowance) {}
+
+    /**
+     * Limits of what a target may send. A target that exceeds one of them counts as failed and its connection is closed.
+     *
+     * @param maxEventBytes maximum length of one event of a stream
+     * @param maxBufferedBytes maximum length of a response that is passed on only when it is complete
+     * @param maxHeldBytes maximum sum of the incomplete events and buffered responses of all targets
+     */
+    public record ResponseLimits(long maxEventBytes, long maxBufferedBytes, long maxHeldBytes) {
+        /**
+         * Returns the limits that hold if the settings have none: an event holds some dozens of tokens, so a few
+         * kilobytes; a process of the known installations has a heap of 160 MB, of which responses may take a fifth.
+         */
+        public static ResponseLimits defaults() {
+            return new ResponseLimits(256 * 1024, 8 * 1024 * 1024, 32 * 1024 * 1024);
+        }
+    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -20,6 +20,8 @@
     private static final Duration MIN_DURATION = Duration.ofMillis(1);
     private static final Duration MAX_DURATION = Duration.ofHours(1);
     private static final long MAX_RETRY_ALLOWANCE = 1_000_000;
+    private static final long MIN_RESPONSE_BYTES = 1024;
+    private static final long MAX_RESPONSE_BYTES = 1024L * 1024 * 1024;
 
     private GatewaySettingsFile() {}
 
@@ -54,6 +56,9 @@
         if (!root.has("bounds")) {
             root.addError("bounds", "\"bounds\" is missing", "add the section \"bounds\" as docs/operators.md shows");
         }
+        GatewaySettings.ResponseLimits responses = root.section("responses")
+                .map(GatewaySettingsFile::readResponses)
+                .orElseGet(GatewaySettings.ResponseLimits::defaults);
         root.reportUnknownKeys();
         if (!errors.isEmpty()) {
             return Optional.empty();
@@ -66,7 +71,27 @@
                 metrics.orElseThrow(),
                 peers.orElseThrow(),
                 platform.orElseThrow(),
-                bounds.orElseThrow()));
+                bounds.orElseThrow(),
+                responses));
+    }
+
+    private static GatewaySettings.ResponseLimits readResponses(Section section) {
+        GatewaySettings.ResponseLimits defaults = GatewaySettings.ResponseLimits.defaults();
+        long maxEvent = readSize(section, "max-event", defaults.maxEventBytes());
+        long maxBuffered = readSize(section, "max-buffered", defaults.maxBufferedBytes());
+        long maxHeld = readSize(section, "max-held", defaults.maxHeldBytes());
+        if (maxHeld < maxEvent || maxHeld < maxBuffered) {
+            section.addError(
+                    "max-held",
+                    "\"max-held\" is less than the limit of a single response",
+                    "set \"max-held\" to at least \"max-event\" and \"max-buffered\"");
+        }
+        section.reportUnknownKeys();
+        return new GatewaySettings.ResponseLimits(maxEvent, maxBuffered, maxHeld);
+    }
+
+    private static long readSize(Section section, String key, long defaultBytes) {
+        return section.sizeBytes(key, MIN_RESPONSE_BYTES, MAX_RESPONSE_BYTES).orElse(defaultBytes);
     }
 
     private static Optional<GatewaySettings.Bounds> readBounds(Section section) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -157,7 +157,12 @@
                                 Urgency.of(request),
                                 prepared.helpers(),
                                 lastEventId));
-        response = new TargetResponse(this, context.dialect(), request.route().kind() == RouteKind.STREAMING, relay);
+        response = new TargetResponse(
+                this,
+                context.dialect(),
+                request.route().kind() == RouteKind.STREAMING,
+                relay,
+                context.responseMemory());
         TargetResponse current = response;
         exchange = target.client()
                 .send(
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -131,8 +131,7 @@
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
                 settings.bounds().configurationApply().plus(UNKNOWN_ROUTE_MARGIN));
-        this.catalogFollower =
-                follower(
+        this.catalogFollower = follower(
                 "desired state",
                 ports.catalog(),
                 new FeedFollower.Pace(CATALOG_WATCH_TIMEOUT, CATALOG_MIN_INTERVAL),
@@ -143,10 +142,7 @@
                 new FeedFollower.Pace(TARGETS_WATCH_TIMEOUT, TARGETS_MIN_INTERVAL),
                 targets);
         this.entriesFollower = follower(
-                "entries",
-                ports.entries(),
-                new FeedFollower.Pace(ENTRIES_WATCH_TIMEOUT, ENTRIES_MIN_INTERVAL),
-                peers);
+                "entries", ports.entries(), new FeedFollower.Pace(ENTRIES_WATCH_TIMEOUT, ENTRIES_MIN_INTERVAL), peers);
         this.forwarder = new RequestForwarder(
                 new GatewayContext(
                         loop,
@@ -159,6 +155,7 @@
                         new PlainTargetPicker(targets, settings.domain()),
                         targets::findAt,
                         this::budget,
+                        new ResponseMemory(settings.responses()),
                         new GatewayMetrics(registry),
                         log),
                 startupQueue);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -25,6 +25,7 @@
  * @param plainPicker picks the targets of plain services
  * @param targetAt finds the target that listens on an address
  * @param budgets retry budget of each service
+ * @param responseMemory memory of incomplete responses
  * @param metrics counters and histograms
  * @param log structured log
  */
@@ -38,5 +39,6 @@
         TargetPicker plainPicker,
         Function<Endpoint, Optional<TargetRuntime>> targetAt,
         Function<ServiceName, AttemptBudget> budgets,
+        ResponseMemory responseMemory,
         GatewayMetrics metrics,
         EventLog log) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/SseEventSplitter.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/SseEventSplitter.java
@@ -2,10 +2,12 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.OptionalLong;
 
-/** Splits a stream of server-sent events into whole events and reads their ids. An empty line ends an event. */
+/**
+ * Splits a stream of server-sent events into whole events and reads their ids. An empty line ends an event. Each byte is
+ * looked at once, whatever the number of reads in which an event arrives.
+ */
 final class SseEventSplitter {
     private static final String ID_FIELD = "id:";
 
@@ -13,29 +15,31 @@
     private OptionalLong lastId = OptionalLong.empty();
     private OptionalLong firstIdOfAppend = OptionalLong.empty();
     private boolean isContinuous = true;
+    private boolean isAtLineStart;
     private int eventCount;
 
     /** Appends bytes of the stream and returns all bytes that now belong to whole events; may be empty. */
     byte[] append(byte[] bytes) {
         firstIdOfAppend = OptionalLong.empty();
         isContinuous = true;
-        int end = 0;
-        int partialLength = partialEvent.size();
-        partialEvent.writeBytes(bytes);
-        byte[] all = partialEvent.toByteArray();
+        ByteArrayOutputStream wholeEvents = new ByteArrayOutputStream();
         int start = 0;
-        for (int i = Math.max(1, partialLength - 2); i < all.length; i++) {
-            boolean isEmptyLine =
-                    all[i] == '\n' && (all[i - 1] == '\n' || (i >= 3 && all[i - 1] == '\r' && all[i - 2] == '\n'));
-            if (isEmptyLine) {
-                readEvent(new String(all, start, i + 1 - start, StandardCharsets.UTF_8));
-                start = i + 1;
-                end = start;
+        for (int i = 0; i < bytes.length; i++) {
+            if (bytes[i] == '\n') {
+                if (isAtLineStart) {
+                    partialEvent.write(bytes, start, i + 1 - start);
+                    start = i + 1;
+                    readEvent(partialEvent.toString(StandardCharsets.UTF_8));
+                    wholeEvents.writeBytes(partialEvent.toByteArray());
+                    partialEvent.reset();
+                }
+                isAtLineStart = true;
+            } else if (bytes[i] != '\r') {
+                isAtLineStart = false;
             }
         }
-        partialEvent.reset();
-        partialEvent.write(all, end, all.length - end);
-        return end == all.length ? all : Arrays.copyOf(all, end);
+        partialEvent.write(bytes, start, bytes.length - start);
+        return wholeEvents.toByteArray();
     }
 
     /** Returns whether the bytes appended so far end within an event. */
@@ -43,6 +47,11 @@
         return partialEvent.size() > 0;
     }
 
+    /** Returns the length in bytes of the event that is not yet whole. */
+    int partialEventBytes() {
+        return partialEvent.size();
+    }
+
     /** Returns the number of whole events so far. */
     int eventCount() {
         return eventCount;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.gateway.GatewaySettings;
 import io.endiveshed.gateway.RequestDialect;
 import io.endiveshed.gateway.TargetResponseHead;
 import io.endiveshed.net.http.HttpResponseListener;
@@ -14,24 +15,30 @@
  * target.
  */
 final class TargetResponse implements HttpResponseListener {
-    /** Maximum length in bytes of a response that is buffered. */
-    private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
-
     private final Listener listener;
     private final RequestDialect dialect;
     private final boolean isStreaming;
     private final ResponseRelay relay;
+    private final GatewaySettings.ResponseLimits limits;
+    private final ResponseMemory.Share memory;
     private final SseEventSplitter events = new SseEventSplitter();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private TargetResponseHead head;
     private List<Header> headers = List.of();
     private boolean isOver;
 
-    TargetResponse(Listener listener, RequestDialect dialect, boolean isStreaming, ResponseRelay relay) {
+    TargetResponse(
+            Listener listener,
+            RequestDialect dialect,
+            boolean isStreaming,
+            ResponseRelay relay,
+            ResponseMemory responseMemory) {
         this.listener = listener;
         this.dialect = dialect;
         this.isStreaming = isStreaming;
         this.relay = relay;
+        this.limits = responseMemory.limits();
+        this.memory = responseMemory.newShare();
     }
 
     /** Returns the decoded head; null until it has arrived. */
@@ -59,7 +66,11 @@
         }
         OptionalLong previousId = events.eventCount() > 0 ? events.lastId() : relay.lastEventId();
         byte[] wholeEvents = events.append(bytes);
-        if (wholeEvents.length == 0) {
+        if (events.partialEventBytes() > limits.maxEventBytes()) {
+            fail("an event exceeds " + limits.maxEventBytes() + " bytes");
+            return;
+        }
+        if (!hold(events.partialEventBytes()) || wholeEvents.length == 0) {
             return;
         }
         if (!isConsecutiveTo(previousId)) {
@@ -80,6 +91,7 @@
             return;
         }
         isOver = true;
+        memory.release();
         if (head.isSuccess()) {
             listener.succeeded(this);
         } else {
@@ -90,7 +102,7 @@
     @Override
     public void failed(boolean sent, String message) {
         if (!isOver) {
-            isOver = true;
+            ignore();
             listener.exchangeBroken(this, sent, message);
         }
     }
@@ -98,6 +110,7 @@
     /** Ignores everything that arrives from now on. */
     void ignore() {
         isOver = true;
+        memory.release();
     }
 
     /** Sends the caller the rest of the response: the end of a relayed stream, or a buffered response. */
@@ -118,15 +131,25 @@
     }
 
     private void buffer(byte[] bytes) {
-        if (buffer.size() + bytes.length > MAX_BUFFERED_BYTES) {
-            fail("the response exceeds " + MAX_BUFFERED_BYTES + " bytes");
-        } else {
+        long length = (long) buffer.size() + bytes.length;
+        if (length > limits.maxBufferedBytes()) {
+            fail("the response exceeds " + limits.maxBufferedBytes() + " bytes");
+        } else if (hold(length)) {
             buffer.writeBytes(bytes);
         }
     }
 
+    /** Accounts for the bytes that this response holds; fails it if all responses together hold too much. */
+    private boolean hold(long bytes) {
+        boolean isGranted = memory.tryResize(bytes);
+        if (!isGranted) {
+            fail("the incomplete responses of all targets exceed " + limits.maxHeldBytes() + " bytes");
+        }
+        return isGranted;
+    }
+
     private void fail(String message) {
-        isOver = true;
+        ignore();
         listener.exchangeBroken(this, true, message);
     }
 
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -53,4 +53,21 @@
         assertThat(all).contains("instanze");
         errors.forEach(error -> assertThat(error.remedy()).isNotEmpty());
     }
+
+    /** Guards against limits that are ignored, and against a total that a single response exceeds. */
+    @Test
+    void readsLimitsOfResponses() {
+        String limits = "responses:\n  max-event: 64KiB\n  max-buffered: 1MiB\n  max-held: 4MiB\n";
+        GatewaySettings settings =
+                GatewaySettingsFile.parse("test", COMPLETE_FILE + limits).get();
+        assertThat(settings.responses())
+                .isEqualTo(new GatewaySettings.ResponseLimits(64 * 1024, 1024 * 1024, 4 * 1024 * 1024));
+        assertThat(GatewaySettingsFile.parse("test", COMPLETE_FILE).get().responses())
+                .isEqualTo(GatewaySettings.ResponseLimits.defaults());
+
+        List<SettingsError> errors = GatewaySettingsFile.parse("test", COMPLETE_FILE + limits.replace("4MiB", "512KiB"))
+                .getLeft();
+        assertThat(errors.toString()).contains("max-held");
+        errors.forEach(error -> assertThat(error.remedy()).isNotEmpty());
+    }
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -125,8 +125,8 @@
         private void completeWatch() {
             CompletableFuture<Either<StoreError, FeedBatch<String>>> watch = openWatch;
             openWatch = null;
-            watch.complete(Either.right(new FeedBatch<>(
-                    changes.subList((int) openWatchVersion, changes.size()), changes.size())));
+            watch.complete(Either.right(
+                    new FeedBatch<>(changes.subList((int) openWatchVersion, changes.size()), changes.size())));
         }
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -29,21 +29,29 @@
     public static final int NO_VALID_ANSWER = -1;
 
     /**
-     * Maximum size of a response body in bytes; a list of configuration pieces is expected to reach 6 MB in two years.
+     * Maximum size of a response body in bytes, unless a smaller one is given; a list of configuration pieces is expected
+     * to reach 6 MB in two years.
      */
-    private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+    private static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
 
     private static final int SUCCESS_STATUS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
 
     private final Function<byte[], T> parser;
+    private final int maxBodyBytes;
     private final CompletableFuture<Either<Integer, T>> result = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
 
     /** Creates a call whose response body the function parses; the function may throw a {@link RuntimeException}. */
     public HttpCall(Function<byte[], T> parser) {
+        this(parser, DEFAULT_MAX_BODY_BYTES);
+    }
+
+    /** Creates a call that fails as soon as its response body exceeds the given size in bytes. */
+    public HttpCall(Function<byte[], T> parser, int maxBodyBytes) {
         this.parser = parser;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
     /**
@@ -59,11 +67,9 @@
             List<Header> headers,
             byte[] content) {
         HttpExchange exchange = client.send(method, path, headers, content, this);
-        scheduler.schedule(timeout, () -> {
-            if (result.complete(Either.left(NO_VALID_ANSWER))) {
-                exchange.cancel();
-            }
-        });
+        scheduler.schedule(timeout, () -> result.complete(Either.left(NO_VALID_ANSWER)));
+        // Has no effect on an exchange that has ended; any other would keep reading a response that nobody waits for.
+        result.thenRun(exchange::cancel);
         return result;
     }
 
@@ -74,7 +80,7 @@
 
     @Override
     public void received(byte[] bytes) {
-        if (body.size() + bytes.length <= MAX_BODY_BYTES) {
+        if (body.size() + bytes.length <= maxBodyBytes) {
             body.writeBytes(bytes);
         } else {
             result.complete(Either.left(NO_VALID_ANSWER));
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -1,5 +1,6 @@
 package io.endiveshed.net.http;
 
+import io.endiveshed.net.http.internal.BytesArrivedHandler;
 import io.endiveshed.net.http.internal.ClientConnection;
 import io.endiveshed.protocol.Header;
 import io.netty.bootstrap.Bootstrap;
@@ -47,7 +48,11 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec()).addLast(new ClientConnection(options));
+                        ClientConnection connection = new ClientConnection(options);
+                        channel.pipeline()
+                                .addLast(new BytesArrivedHandler(connection::onBytesArrived))
+                                .addLast(new HttpClientCodec())
+                                .addLast(connection);
                     }
                 });
     }
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -64,7 +64,7 @@
                         ServerConnection connectionHandler = new ServerConnection(context);
                         connection
                                 .pipeline()
-                                .addLast(new BytesArrivedHandler(connectionHandler))
+                                .addLast(new BytesArrivedHandler(length -> connectionHandler.onBytesArrived()))
                                 .addLast(new HttpServerCodec(new HttpDecoderConfig()
                                         .setMaxInitialLineLength(limits.maxHeaderBytes())
                                         .setMaxHeaderSize(limits.maxHeaderBytes())))
--- a/net/src/main/java/io/endiveshed/net/http/internal/BytesArrivedHandler.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/BytesArrivedHandler.java
@@ -1,20 +1,22 @@
 package io.endiveshed.net.http.internal;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.IntConsumer;
 
-/** Notifies a connection of arriving bytes before the HTTP codec, which buffers incomplete header sections. */
+/** Notifies a connection of arriving bytes before the HTTP codec, which buffers or skips what it cannot decode yet. */
 public final class BytesArrivedHandler extends ChannelInboundHandlerAdapter {
-    private final ServerConnection connection;
+    private final IntConsumer listener;
 
-    /** Creates a handler, which must precede the codec in the pipeline. */
-    public BytesArrivedHandler(ServerConnection connection) {
-        this.connection = connection;
+    /** Creates a handler, which must precede the codec in the pipeline; the listener gets the length of each read. */
+    public BytesArrivedHandler(IntConsumer listener) {
+        this.listener = listener;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-        connection.onBytesArrived();
+        listener.accept(((ByteBuf) bytes).readableBytes());
         ctx.fireChannelRead(bytes);
     }
 }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -27,6 +27,12 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /**
+     * Maximum number of bytes that may arrive without being part of the response to the current request: interim
+     * responses, responses to earlier requests, and bytes that the codec skips. It has room for a few late responses.
+     */
+    private static final int MAX_SKIPPED_BYTES = 256 * 1024;
+
     private final HttpClientOptions options;
     private ChannelHandlerContext context;
     private HttpResponseListener listener;
@@ -35,6 +41,7 @@
     private boolean keepAlive;
     private boolean isSkippingResponse;
     private boolean staleResponseSeen;
+    private int skippedBytes;
     private long maxIdleMillis;
     private long idleSinceNanos;
     private ScheduledFuture<?> idleTimeout;
@@ -88,6 +95,19 @@
         isSkippingResponse = false;
         staleResponseSeen = false;
         keepAlive = false;
+        skippedBytes = 0;
+    }
+
+    /**
+     * Counts bytes that have arrived before the codec decodes them; {@link #channelRead0} takes back those of the
+     * response to the current request.
+     */
+    public void onBytesArrived(int length) {
+        skippedBytes += length;
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
+            context.close();
+        }
     }
 
     /** Writes the request. */
@@ -133,6 +153,7 @@
             isSkippingResponse = !(part instanceof LastHttpContent);
             return;
         }
+        skippedBytes = 0;
         if (part instanceof HttpContent content && content.content().isReadable()) {
             listener.received(ByteBufUtil.getBytes(content.content()));
         }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -92,7 +92,7 @@
      * Starts the timeout of the header section when the first bytes of a request arrive. The codec reports a header
      * section only when it is complete.
      */
-    void onBytesArrived() {
+    public void onBytesArrived() {
         if (idle) {
             ChannelHandlerContext ctx = context;
             idle = false;
