Never take a late copy of an answer for the answer to the next call

Cause: answers of the store and of engines to orders name no call, so a second copy that arrives while a connection is in use again was taken for the answer to the call in progress: an older list of targets, a confirmation of the desired state that is dated one call too late, or memory that counts as reserved. Requests of callers were safe already, as their answers carry an id. A second copy of an order's answer can still reach the next order on that connection; orders can be repeated, and memory wrongly counted as reserved ends in a refusal by the engine.

--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
 
 /**
@@ -41,6 +42,7 @@
     private final int maxBodyBytes;
     private final CompletableFuture<Either<Integer, T>> result = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Predicate<List<Header>> isOwnResponse = response -> true;
     private int status;
 
     /** Creates a call whose response body the function parses; the function may throw a {@link RuntimeException}. */
@@ -54,6 +56,12 @@
         this.maxBodyBytes = maxBodyBytes;
     }
 
+    /** Discards responses whose header fields do not satisfy the predicate; they belong to an earlier request. */
+    public HttpCall<T> accepting(Predicate<List<Header>> predicate) {
+        isOwnResponse = predicate;
+        return this;
+    }
+
     /**
      * Sends the request. The stage never completes exceptionally: it has the value, or on the left the HTTP status,
      * {@link #NOT_SENT} or {@link #NO_VALID_ANSWER}. Must be called at most once.
@@ -66,7 +74,7 @@
             String path,
             List<Header> headers,
             byte[] content) {
-        HttpExchange exchange = client.send(method, path, headers, content, this);
+        HttpExchange exchange = client.send(method, path, headers, content, this, isOwnResponse);
         scheduler.schedule(timeout, () -> result.complete(Either.left(NO_VALID_ANSWER)));
         // Has no effect on an exchange that has ended; any other would keep reading a response that nobody waits for.
         result.thenRun(exchange::cancel);
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -27,6 +27,7 @@
 public final class HttpClient implements TargetClient {
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
+    private final HttpClientOptions options;
     private final ConcurrentLinkedDeque<ClientConnection> idleConnections = new ConcurrentLinkedDeque<>();
     private volatile boolean stopped;
 
@@ -38,6 +39,7 @@
     /** Creates a client with options for its connections. */
     public HttpClient(EventLoopGroup loops, InetSocketAddress address, HttpClientOptions options) {
         this.address = address;
+        this.options = options;
         this.bootstrap = new Bootstrap()
                 .group(loops)
                 .channel(NioSocketChannel.class)
@@ -111,7 +113,7 @@
     }
 
     void release(ClientConnection connection) {
-        if (stopped) {
+        if (stopped || !options.reuse()) {
             connection.close();
             return;
         }
--- /dev/null
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -0,0 +1,147 @@
+package io.endiveshed.net.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.endiveshed.base.time.ExecutorScheduler;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Either;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the HTTP client with servers that repeat an answer or never end it. */
+final class HttpClientTest {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
+    private static final int WAIT_SECONDS = 10;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against a second copy of an answer, sent late, that is taken for the answer to the next call. */
+    @Test
+    void lateCopyOfAnAnswerIsNotTheAnswerToTheNextCall() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        try (RawServer server = new RawServer((socket, input) -> {
+            String previous = "";
+            while (readHead(input)) {
+                String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + requests.incrementAndGet();
+                send(socket, previous + answer);
+                previous = answer;
+            }
+        })) {
+            HttpClient client =
+                    new HttpClient(loops, server.address(), HttpClientOptions.withoutReuse(CONNECT_TIMEOUT));
+            assertThat(call(client, 100)).isEqualTo(Either.right("1"));
+            assertThat(call(client, 100)).isEqualTo(Either.right("2"));
+            assertThat(call(client, 100)).isEqualTo(Either.right("3"));
+        }
+    }
+
+    /** Guards against a call that has failed because its answer is too long and keeps reading it for ever. */
+    @Test
+    void connectionOfATooLongAnswerIsClosed() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        try (RawServer server = new RawServer((socket, input) -> {
+            readHead(input);
+            try {
+                send(socket, "HTTP/1.1 200 OK\r\n\r\n");
+                while (true) {
+                    send(socket, "x".repeat(8 * 1024));
+                }
+            } catch (IOException e) {
+                closed.countDown();
+            }
+        })) {
+            HttpClient client = new HttpClient(loops, server.address());
+            assertThat(call(client, 64 * 1024)).isEqualTo(Either.left(HttpCall.NO_VALID_ANSWER));
+            assertThat(closed.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    private Either<Integer, String> call(HttpClient client, int maxBodyBytes) throws Exception {
+        return new HttpCall<>(body -> new String(body, StandardCharsets.UTF_8), maxBodyBytes)
+                .send(client, new ExecutorScheduler(loops), CALL_TIMEOUT, "GET", "/", List.of(), new byte[0])
+                .toCompletableFuture()
+                .get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static boolean readHead(BufferedReader input) throws IOException {
+        String line = input.readLine();
+        while (line != null && !line.isEmpty()) {
+            line = input.readLine();
+        }
+        return line != null;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    /** Serves one connection. */
+    private interface ConnectionScript {
+        void serve(Socket socket, BufferedReader input) throws IOException;
+    }
+
+    /** Server on a loopback socket whose script writes raw bytes. */
+    private static final class RawServer implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+
+        RawServer(ConnectionScript script) throws IOException {
+            Thread acceptor = new Thread(() -> accept(script), "raw-server");
+            acceptor.setDaemon(true);
+            acceptor.start();
+        }
+
+        InetSocketAddress address() {
+            return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+
+        private void accept(ConnectionScript script) {
+            while (!server.isClosed()) {
+                try {
+                    Socket socket = server.accept();
+                    Thread connection = new Thread(() -> serve(script, socket), "raw-server-connection");
+                    connection.setDaemon(true);
+                    connection.start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private static void serve(ConnectionScript script, Socket socket) {
+            try (socket) {
+                script.serve(
+                        socket,
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)));
+            } catch (IOException e) {
+                // The client has closed the connection.
+            }
+        }
+    }
+}
