Check a key again after each wait, and look again for a target when the retry budget was empty

Cause of the first: a key was checked before the memory of a long prompt was reserved and before a connection was opened; a process that was suspended meanwhile sent the request with a key that may have been revoked. The margin of 0.5 s covers a slow process, not a suspension of seconds. Cause of the second: a stalled attempt whose retry the budget refused lost its timer, so it waited at a silent target until its time limit although the budget allows a retry again within seconds; its target also stayed excluded. Ruled out: the watch that brings the desired state (dated from before its call, on both clocks), requests that wait for the first desired state (admitted only on release), and a stalled attempt that may not be repeated (it ends at the time limit of the route, which is what its caller waits for).

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -90,16 +90,11 @@
 
     /** Picks a target and prepares the attempt; ends the request if its key cannot be checked or no target is found. */
     private void startAttempt() {
-        long nowNanos = System.nanoTime();
-        long catalogAgeMillis = context.catalogAgeMillis().getAsLong();
-        if (request.account().isPresent() && context.access().isTooOldForKeys(catalogAgeMillis)) {
-            fail(Failure.of(ErrorKind.STORE_UNAVAILABLE)
-                    .message("the desired state was last confirmed " + catalogAgeMillis + " ms ago")
-                    .retryAfter(DEFAULT_RETRY_DELAY)
-                    .build());
+        if (!mayUseKey()) {
+            failBecauseOfUncheckedKey();
             return;
         }
-        Either<Failure, Assignment> picked = pickTarget(nowNanos);
+        Either<Failure, Assignment> picked = pickTarget(System.nanoTime());
         if (picked.isLeft()) {
             fail(picked.getLeft());
             return;
@@ -107,6 +102,23 @@
         prepare(picked.get());
     }
 
+    /**
+     * Returns whether the key of the request, if it has one, is known not to have been revoked. Checked again after each
+     * wait, as the process may have been suspended in between.
+     */
+    private boolean mayUseKey() {
+        return request.account().isEmpty()
+                || !context.access().isTooOldForKeys(context.catalogAgeMillis().getAsLong());
+    }
+
+    private void failBecauseOfUncheckedKey() {
+        fail(Failure.of(ErrorKind.STORE_UNAVAILABLE)
+                .message("the desired state was last confirmed "
+                        + context.catalogAgeMillis().getAsLong() + " ms ago")
+                .retryAfter(DEFAULT_RETRY_DELAY)
+                .build());
+    }
+
     private Either<Failure, Assignment> pickTarget(long nowNanos) {
         TargetPicker picker =
                 request.service().engineCosts().isPresent() ? context.enginePicker() : context.plainPicker();
@@ -125,6 +137,10 @@
             picked.release();
             return;
         }
+        if (isReady && !mayUseKey()) {
+            failBecauseOfUncheckedKey();
+            return;
+        }
         if (isReady) {
             send(picked, System.nanoTime());
             return;
@@ -171,7 +187,8 @@
                         headers,
                         data.body(),
                         current,
-                        head -> context.dialect().isResponseTo(request.caller().id(), head));
+                        head -> context.dialect().isResponseTo(request.caller().id(), head),
+                        this::mayUseKey);
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
@@ -255,6 +272,11 @@
         log.attemptEvent(assignment, attempts, "attempt.broken", message);
         cancelExchange();
         endAttempt();
+        if (!sent && !mayUseKey()) {
+            attempts--;
+            failBecauseOfUncheckedKey();
+            return;
+        }
         if (!sent) {
             target.failureHistory().recordNoResponse(System.nanoTime());
             connectFailures++;
@@ -304,6 +326,8 @@
         }
         if (!takeRetryBudget()) {
             other.get().release();
+            excludedTargets.remove(stalledTarget);
+            startStallTimer(STALL_RECHECK_MILLIS);
             return;
         }
         log.attemptEvent(
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -77,7 +78,23 @@
             byte[] body,
             HttpResponseListener listener,
             Predicate<List<Header>> isOwnResponse) {
-        HttpExchange exchange = new HttpExchange(this, listener, isOwnResponse, method, path, host(), headers, body);
+        return send(method, path, headers, body, listener, isOwnResponse, () -> true);
+    }
+
+    /**
+     * Sends a request unless the condition no longer holds when its connection is open, for example because the process
+     * was suspended meanwhile. The listener is then told that the exchange failed and that nothing was sent.
+     */
+    public HttpExchange send(
+            String method,
+            String path,
+            List<Header> headers,
+            byte[] body,
+            HttpResponseListener listener,
+            Predicate<List<Header>> isOwnResponse,
+            BooleanSupplier mayBeSent) {
+        HttpExchange exchange =
+                new HttpExchange(this, listener, isOwnResponse, mayBeSent, method, path, host(), headers, body);
         acquire(exchange);
         return exchange;
     }
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 /** Request in progress of an {@link HttpClient}. Safe for use by several threads. */
@@ -17,6 +18,7 @@
     private final HttpClient client;
     private final HttpResponseListener listener;
     private final Predicate<List<Header>> isOwnResponse;
+    private final BooleanSupplier mayBeSent;
     private final String method;
     private final String path;
     private final String host;
@@ -30,6 +32,7 @@
             HttpClient client,
             HttpResponseListener listener,
             Predicate<List<Header>> isOwnResponse,
+            BooleanSupplier mayBeSent,
             String method,
             String path,
             String host,
@@ -38,6 +41,7 @@
         this.client = client;
         this.listener = listener;
         this.isOwnResponse = isOwnResponse;
+        this.mayBeSent = mayBeSent;
         this.method = method;
         this.path = path;
         this.host = host;
@@ -81,6 +85,11 @@
             client.acquire(this);
             return;
         }
+        if (!mayBeSent.getAsBoolean()) {
+            client.release(acquired);
+            listener.failed(false, "the request may no longer be sent");
+            return;
+        }
         synchronized (this) {
             if (!cancelled) {
                 connection = acquired;
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.endiveshed.base.time.ExecutorScheduler;
+import io.endiveshed.protocol.Header;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -17,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -77,6 +79,26 @@
         }
     }
 
+    /** Guards against a request that a process sends with a permission that expired while it connected. */
+    @Test
+    void requestThatMayNoLongerBeSentIsNotSent() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        CompletableFuture<Boolean> wasSent = new CompletableFuture<>();
+        try (RawServer server = new RawServer((socket, input) -> {
+            while (readHead(input)) {
+                requests.incrementAndGet();
+            }
+        })) {
+            HttpClient client = new HttpClient(loops, server.address());
+            HttpExchange exchange = client.send(
+                    "GET", "/", List.of(), new byte[0], new FailureListener(wasSent), response -> true, () -> false);
+            assertThat(wasSent.get(WAIT_SECONDS, TimeUnit.SECONDS)).isFalse();
+            exchange.cancel();
+            client.stop();
+        }
+        assertThat(requests.get()).isEqualTo(0);
+    }
+
     private Either<Integer, String> call(HttpClient client, int maxBodyBytes) throws Exception {
         return new HttpCall<>(body -> new String(body, StandardCharsets.UTF_8), maxBodyBytes)
                 .send(client, new ExecutorScheduler(loops), CALL_TIMEOUT, "GET", "/", List.of(), new byte[0])
@@ -97,6 +119,23 @@
         socket.getOutputStream().flush();
     }
 
+    /** Records whether the request of a failed exchange may have been sent. */
+    private record FailureListener(CompletableFuture<Boolean> wasSent) implements HttpResponseListener {
+        @Override
+        public void started(int status, List<Header> headers) {}
+
+        @Override
+        public void received(byte[] bytes) {}
+
+        @Override
+        public void ended() {}
+
+        @Override
+        public void failed(boolean sent, String message) {
+            wasSent.complete(sent);
+        }
+    }
+
     /** Serves one connection. */
     private interface ConnectionScript {
         void serve(Socket socket, BufferedReader input) throws IOException;
