Read bounds of the operator that are no whole numbers

The settings reader took whole numbers only, so no entry started: 39 exits, no request served. Ruled out: fields of the desired state, whose decoder reads fractions already. Change: the allowance may have a fraction, and so may every duration of the settings files. After: the test passes.

--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -42,7 +42,7 @@
             Duration configurationApply,
             Duration stopGrace,
             double retryShare,
-            long retryAllowance) {}
+            double retryAllowance) {}
 
     /**
      * Limits of what a target may send. A target that exceeds one of them counts as failed and its connection is closed.
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -19,7 +19,7 @@
     private static final String ADDRESS_EXAMPLE = "10.0.0.1:8080";
     private static final Duration MIN_DURATION = Duration.ofMillis(1);
     private static final Duration MAX_DURATION = Duration.ofHours(1);
-    private static final long MAX_RETRY_ALLOWANCE = 1_000_000;
+    private static final double MAX_RETRY_ALLOWANCE = 1_000_000;
     private static final long MIN_RESPONSE_BYTES = 1024;
     private static final long MAX_RESPONSE_BYTES = 1024L * 1024 * 1024;
 
@@ -100,13 +100,13 @@
         Optional<Duration> grace = readDuration(section, "stop-grace");
         Optional<Double> share = section.parse(
                 "retry-share", section.requiredText("retry-share", "0.2"), GatewaySettingsFile::parseShare);
-        Optional<Long> allowance = section.integer("retry-allowance", 0, MAX_RETRY_ALLOWANCE);
+        Optional<Double> allowance = section.decimal("retry-allowance", 0, MAX_RETRY_ALLOWANCE);
         section.reportUnknownKeys();
         if (revocation.isEmpty() || apply.isEmpty() || grace.isEmpty() || share.isEmpty()) {
             return Optional.empty();
         }
         return Optional.of(new GatewaySettings.Bounds(
-                revocation.get(), apply.get(), grace.get(), share.get(), allowance.orElse(0L)));
+                revocation.get(), apply.get(), grace.get(), share.get(), allowance.orElse(0.0)));
     }
 
     private static Optional<Duration> readDuration(Section section, String key) {
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -34,7 +34,7 @@
         assertThat(settings.platform().getHostString()).isEqualTo("10.0.0.2");
         assertThat(settings.bounds().revocation()).isEqualTo(Duration.ofSeconds(5));
         assertThat(settings.bounds().retryShare()).isEqualTo(0.2);
-        assertThat(settings.bounds().retryAllowance()).isEqualTo(106);
+        assertThat(settings.bounds().retryAllowance()).isEqualTo(106.0);
     }
 
     /** Guards against a reader that stops at the first error, so that the operator must fix them one by one. */
@@ -70,4 +70,18 @@
         assertThat(errors.toString()).contains("max-held");
         errors.forEach(error -> assertThat(error.remedy()).isNotEmpty());
     }
+
+    /** Guards against an entry that does not start because the platform computed a bound that is no whole number. */
+    @Test
+    void readsBoundsWithFractions() {
+        String text = COMPLETE_FILE
+                .replace("retry-allowance: 106", "retry-allowance: 56.66666666666667")
+                .replace("revocation: 5000ms", "revocation: 3333.5ms")
+                .replace("stop-grace: 8s", "stop-grace: 7.25s");
+        GatewaySettings.Bounds bounds =
+                GatewaySettingsFile.parse("test", text).get().bounds();
+        assertThat(bounds.retryAllowance()).isEqualTo(56.66666666666667);
+        assertThat(bounds.revocation()).isEqualTo(Duration.ofNanos(3_333_500_000L));
+        assertThat(bounds.stopGrace()).isEqualTo(Duration.ofMillis(7_250));
+    }
 }
--- a/settings/src/main/java/io/endiveshed/settings/Quantities.java
+++ b/settings/src/main/java/io/endiveshed/settings/Quantities.java
@@ -1,5 +1,6 @@
 package io.endiveshed.settings;
 
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,11 @@
 /** Parses and formats durations and sizes with units, such as {@code 500ms} and {@code 16MiB}. */
 public final class Quantities {
     private static final Pattern NUMBER_AND_UNIT = Pattern.compile("([0-9]{1,12})([A-Za-z]+)");
+
+    /** Durations may have a fraction, as settings that a platform fills in from computed values do. */
+    private static final Pattern FRACTION_AND_UNIT = Pattern.compile("([0-9]{1,12}(?:[.][0-9]{1,20})?)([A-Za-z]+)");
+
+    private static final BigDecimal NANOS_PER_SECOND = BigDecimal.valueOf(1_000_000_000);
     private static final Map<String, Duration> TIME_UNITS = Map.of(
             "ms", Duration.ofMillis(1),
             "s", Duration.ofSeconds(1),
@@ -20,13 +26,17 @@
 
     private Quantities() {}
 
-    /** Parses a duration; returns empty if the text is not a whole number with a time unit. */
+    /** Parses a duration; returns empty if the text is not a number with a time unit. Parts of a nanosecond are cut. */
     public static Optional<Duration> parseDuration(String text) {
-        Matcher matcher = NUMBER_AND_UNIT.matcher(text);
+        Matcher matcher = FRACTION_AND_UNIT.matcher(text);
         if (!matcher.matches() || !TIME_UNITS.containsKey(matcher.group(2))) {
             return Optional.empty();
         }
-        return Optional.of(TIME_UNITS.get(matcher.group(2)).multipliedBy(Long.parseLong(matcher.group(1))));
+        BigDecimal unitNanos =
+                BigDecimal.valueOf(TIME_UNITS.get(matcher.group(2)).toNanos());
+        BigDecimal[] seconds =
+                new BigDecimal(matcher.group(1)).multiply(unitNanos).divideAndRemainder(NANOS_PER_SECOND);
+        return Optional.of(Duration.ofSeconds(seconds[0].longValue(), seconds[1].longValue()));
     }
 
     /** Parses a size and returns it in bytes; returns empty if the text is not a whole number with a size unit. */
--- a/settings/src/main/java/io/endiveshed/settings/Section.java
+++ b/settings/src/main/java/io/endiveshed/settings/Section.java
@@ -154,6 +154,22 @@
         });
     }
 
+    /** Returns the number of an optional key, which may have a fraction; one outside the range is an error. */
+    public Optional<Double> decimal(String key, double min, double max) {
+        return parse(key, text(key), text -> {
+            String remedy = "write a number from " + min + " to " + max + " without a unit";
+            try {
+                double number = Double.parseDouble(text);
+                if (number >= min && number <= max) {
+                    return number;
+                }
+            } catch (NumberFormatException e) {
+                throw new IllegalArgumentException(remedy, e);
+            }
+            throw new IllegalArgumentException(remedy);
+        });
+    }
+
     /** Returns the boolean of an optional key; values other than {@code true} and {@code false} are errors. */
     public Optional<Boolean> booleanValue(String key) {
         return choice(key, text(key), Map.of("true", true, "false", false));
