Send callers to another entry at once if only this one has lost the store

Change: heartbeats between entries tell the age of the desired state. An entry whose state is older than 2 s while that of most others is not reports not ready, and its refusals say to return after 20 ms; if the store is away for most entries, all stays as it was. Keys are still refused at the same age. Logged as store.isolated and store.isolation-ended.

--- a/coordination/src/main/java/io/endiveshed/coordination/service/AccessPolicy.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/AccessPolicy.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Decides whether a request may be forwarded. If the local copy of the desired state is missing or too old for the
@@ -22,8 +23,12 @@
      */
     private static final Duration STALE_STATE_RETRY_DELAY = Duration.ofMillis(500);
 
+    /** Retry delay that a caller is given if other entries can confirm the desired state, so that a retry is served. */
+    private static final Duration OTHER_ENTRY_RETRY_DELAY = Duration.ofMillis(20);
+
     private final long maxKeyAgeMillis;
     private final long maxRejectAgeMillis;
+    private final BooleanSupplier canOthersServe;
 
     /**
      * Creates a policy.
@@ -33,6 +38,16 @@
      *     have been added
      */
     public AccessPolicy(Duration maxKeyAge, Duration maxRejectAge) {
+        this(maxKeyAge, maxRejectAge, () -> false);
+    }
+
+    /**
+     * Creates a policy of an entry that knows whether others can serve what it must refuse.
+     *
+     * @param canOthersServe whether the desired state of most other entries is confirmed while that of this one is not
+     */
+    public AccessPolicy(Duration maxKeyAge, Duration maxRejectAge, BooleanSupplier canOthersServe) {
+        this.canOthersServe = canOthersServe;
         this.maxKeyAgeMillis = maxKeyAge.toMillis();
         this.maxRejectAgeMillis = maxRejectAge.toMillis();
     }
@@ -64,7 +79,7 @@
             return reject(ageMillis, ErrorKind.UNAUTHENTICATED, "the key is missing or unknown");
         }
         if (isTooOldForKeys(ageMillis)) {
-            return staleState("the desired state was last confirmed " + ageMillis + " ms ago");
+            return Either.left(staleKeyFailure(ageMillis));
         }
         return Either.right(new AccessGrant(route.get(), account));
     }
@@ -74,17 +89,26 @@
         return ageMillis > maxKeyAgeMillis;
     }
 
+    /** Returns the failure to send if the desired state, of the given age, is too old to check a key. */
+    public Failure staleKeyFailure(long ageMillis) {
+        return staleStateFailure("the desired state was last confirmed " + ageMillis + " ms ago");
+    }
+
     private Either<Failure, AccessGrant> reject(long ageMillis, ErrorKind kind, String message) {
         return ageMillis > maxRejectAgeMillis
                 ? staleState(message + ", but the desired state was last confirmed " + ageMillis + " ms ago")
                 : Either.left(Failure.of(kind).message(message).build());
     }
 
-    private static Either<Failure, AccessGrant> staleState(String message) {
-        return Either.left(Failure.of(ErrorKind.STORE_UNAVAILABLE)
+    private Either<Failure, AccessGrant> staleState(String message) {
+        return Either.left(staleStateFailure(message));
+    }
+
+    private Failure staleStateFailure(String message) {
+        return Failure.of(ErrorKind.STORE_UNAVAILABLE)
                 .message(message)
-                .retryAfter(STALE_STATE_RETRY_DELAY)
-                .build());
+                .retryAfter(canOthersServe.getAsBoolean() ? OTHER_ENTRY_RETRY_DELAY : STALE_STATE_RETRY_DELAY)
+                .build();
     }
 
     /**
--- a/coordination/src/test/java/io/endiveshed/coordination/service/AccessPolicyTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/AccessPolicyTest.java
@@ -35,6 +35,16 @@
         assertThat(kind(decide(Long.MAX_VALUE, "/chat/x", "key"))).isEqualTo(ErrorKind.STORE_UNAVAILABLE);
     }
 
+    /** Guards against callers that wait for this entry although another one can serve them at once. */
+    @Test
+    void callersReturnAtOnceIfOtherEntriesCanServe() {
+        AccessPolicy isolated = new AccessPolicy(Duration.ofMillis(4_500), Duration.ofMillis(2_500), () -> true);
+        Duration alone = isolated.staleKeyFailure(5_000).retryAfter().orElseThrow();
+        Duration together = policy.staleKeyFailure(5_000).retryAfter().orElseThrow();
+        assertThat(alone).isLessThan(Duration.ofMillis(50));
+        assertThat(together).isAtLeast(Duration.ofMillis(200));
+    }
+
     /** Guards against requests without a key that fail because the store is unavailable. */
     @Test
     void publicRoutesAreServedOnStaleState() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -112,11 +112,7 @@
     }
 
     private void failBecauseOfUncheckedKey() {
-        fail(Failure.of(ErrorKind.STORE_UNAVAILABLE)
-                .message("the desired state was last confirmed "
-                        + context.catalogAgeMillis().getAsLong() + " ms ago")
-                .retryAfter(DEFAULT_RETRY_DELAY)
-                .build());
+        fail(context.access().staleKeyFailure(context.catalogAgeMillis().getAsLong()));
     }
 
     private Either<Failure, Assignment> pickTarget(long nowNanos) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -5,6 +5,7 @@
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.freshness.StoreIsolation;
 import io.endiveshed.coordination.readiness.Readiness;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.retry.RetryShare;
@@ -25,6 +26,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -104,6 +106,7 @@
     private final EntryRecord self;
     private final PlatformPorts ports;
     private volatile boolean isDraining;
+    private volatile boolean isIsolated;
 
     /** Creates the components; {@link #start} starts them. */
     public GatewayComponents(
@@ -130,7 +133,8 @@
                 backlogs);
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
-                settings.bounds().configurationApply().plus(UNKNOWN_ROUTE_MARGIN));
+                settings.bounds().configurationApply().plus(UNKNOWN_ROUTE_MARGIN),
+                () -> isIsolated);
         this.catalogFollower = follower(
                 "desired state",
                 ports.catalog(),
@@ -195,11 +199,12 @@
 
     /**
      * Returns whether the load balancer should send callers here: requests can be served, and if keys are required, the
-     * desired state is recent enough to check them.
+     * desired state is recent enough to check them. An entry that alone cannot reach the store leaves the rotation before
+     * it must refuse callers.
      */
     public boolean isReady() {
         boolean canCheckKeys = !catalog.read().keysRequired() || !access.isTooOldForKeys(catalogFollower.ageMillis());
-        return canCheckKeys && readiness(isDraining).isReady();
+        return canCheckKeys && !isIsolated && readiness(isDraining).isReady();
     }
 
     private boolean canServe() {
@@ -226,11 +231,25 @@
     }
 
     private void heartbeat() {
-        peers.heartbeat();
+        peers.heartbeat(catalogFollower.ageMillis());
+        updateIsolation();
         targets.removeExpired();
         backlogs.removeOverdue();
     }
 
+    private void updateIsolation() {
+        long ageMillis = catalogFollower.ageMillis();
+        List<Long> peerAgesMillis = peers.stateAgesMillis();
+        boolean isNowIsolated = StoreIsolation.isIsolated(ageMillis, peerAgesMillis);
+        if (isNowIsolated != isIsolated) {
+            isIsolated = isNowIsolated;
+            log.change(isNowIsolated ? "store.isolated" : "store.isolation-ended")
+                    .with("state_age_ms", ageMillis)
+                    .with("peers", peerAgesMillis.size())
+                    .write();
+        }
+    }
+
     /** Releases due requests of the startup queue, repeatedly until the entry can serve and all were released. */
     private void checkStartupQueue() {
         startupQueue.releaseDue(System.nanoTime());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -25,9 +26,9 @@
 
     private PeerCodec() {}
 
-    /** Encodes a heartbeat. */
-    static byte[] heartbeat(PeerIncarnation sender) {
-        return pack(sender, HEARTBEAT, packer -> {});
+    /** Encodes a heartbeat with the age of the sender's desired state in milliseconds. */
+    static byte[] heartbeat(PeerIncarnation sender, long stateAgeMillis) {
+        return pack(sender, HEARTBEAT, packer -> packer.packLong(stateAgeMillis));
     }
 
     /** Encodes the end of a prompt, with the prefill in milliseconds that each of its engines is spared. */
@@ -69,11 +70,18 @@
             PeerIncarnation sender =
                     new PeerIncarnation(new InstanceId(unpacker.unpackString()), unpacker.unpackLong());
             return switch (kind) {
-                case HEARTBEAT -> Optional.of(new PeerDatagram(sender, Optional.empty(), -1, 0));
-                case STARTED -> Optional.of(new PeerDatagram(sender, Optional.of(readNotice(unpacker)), -1, 0));
-                case ENDED ->
+                case HEARTBEAT ->
+                    Optional.of(new PeerDatagram(sender, Optional.empty(), -1, 0, readStateAge(unpacker)));
+                case STARTED ->
                     Optional.of(
-                            new PeerDatagram(sender, Optional.empty(), unpacker.unpackLong(), unpacker.unpackFloat()));
+                            new PeerDatagram(sender, Optional.of(readNotice(unpacker)), -1, 0, OptionalLong.empty()));
+                case ENDED ->
+                    Optional.of(new PeerDatagram(
+                            sender,
+                            Optional.empty(),
+                            unpacker.unpackLong(),
+                            unpacker.unpackFloat(),
+                            OptionalLong.empty()));
                 default -> Optional.empty();
             };
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -81,6 +89,11 @@
         }
     }
 
+    /** Reads the age of the sender's desired state, which heartbeats of earlier builds do not have. */
+    private static OptionalLong readStateAge(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+    }
+
     private static PlacementNotice readNotice(MessageUnpacker unpacker) throws IOException {
         long number = unpacker.unpackLong();
         int count = unpacker.unpackArrayHeader();
@@ -139,10 +152,12 @@
      * @param started prompt that started
      * @param endedNumber number of the prompt that ended; -1 if none
      * @param remainingPrefillMillis prefill in milliseconds that each engine of the ended prompt is spared
+     * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
      */
     record PeerDatagram(
             PeerIncarnation sender,
             Optional<PlacementNotice> started,
             long endedNumber,
-            double remainingPrefillMillis) {}
+            double remainingPrefillMillis,
+            OptionalLong stateAgeMillis) {}
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -18,9 +18,13 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Sends notices of the prompts that this entry places to the other entries, and receives theirs. Confined to one event
@@ -81,9 +85,28 @@
         return listedAddresses.size() + 1;
     }
 
-    /** Sends a heartbeat to the peers, and drops the peers that have sent none for too long. */
-    void heartbeat() {
-        sendToAll(PeerCodec.heartbeat(self));
+    /**
+     * Returns the ages of the desired states that the active peers have told, in milliseconds, counting the time since
+     * then.
+     */
+    List<Long> stateAgesMillis() {
+        long nowNanos = System.nanoTime();
+        List<Long> ages = new ArrayList<>();
+        for (PeerState peer : activePeers.values()) {
+            long sinceMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - peer.stateAgeReceivedNanos);
+            // The age of a peer without a desired state is the largest number, to which nothing can be added.
+            peer.stateAgeMillis.ifPresent(
+                    age -> ages.add(age > Long.MAX_VALUE - sinceMillis ? age : age + sinceMillis));
+        }
+        return ages;
+    }
+
+    /**
+     * Sends a heartbeat with the age of the own desired state to the peers, and drops the peers that have sent none for
+     * too long.
+     */
+    void heartbeat(long stateAgeMillis) {
+        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -159,6 +182,10 @@
             sendPlacementsToNewPeers();
         }
         peer.lastReceivedNanos = System.nanoTime();
+        if (datagram.stateAgeMillis().isPresent()) {
+            peer.stateAgeMillis = datagram.stateAgeMillis();
+            peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
+        }
         int owner = peer.owner;
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
         if (datagram.endedNumber() >= 0) {
@@ -202,6 +229,8 @@
         private final int owner;
         private final long startedMillis;
         private long lastReceivedNanos;
+        private OptionalLong stateAgeMillis = OptionalLong.empty();
+        private long stateAgeReceivedNanos;
         private boolean wasSentPlacements;
 
         private PeerState(int owner, long startedMillis) {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -37,8 +38,11 @@
                 PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
         assertThat(ended.endedNumber()).isEqualTo(7);
         assertThat(ended.remainingPrefillMillis()).isEqualTo(12.5);
-        assertThat(PeerCodec.read(PeerCodec.heartbeat(SENDER)).orElseThrow().started())
-                .isEqualTo(Optional.empty());
+        PeerCodec.PeerDatagram heartbeat =
+                PeerCodec.read(PeerCodec.heartbeat(SENDER, 1_200)).orElseThrow();
+        assertThat(heartbeat.started()).isEqualTo(Optional.empty());
+        assertThat(heartbeat.stateAgeMillis()).isEqualTo(OptionalLong.of(1_200));
+        assertThat(started.stateAgeMillis()).isEqualTo(OptionalLong.empty());
     }
 
     /** Guards against a notice that is decoded from an incomplete datagram. */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -53,7 +53,7 @@
         second.start();
         second.receiveListOf(first);
         onLoop(() -> {
-            second.exchange.heartbeat();
+            second.exchange.heartbeat(0);
             return null;
         });
         await(() -> !second.receivedNumbers.isEmpty());
@@ -62,6 +62,24 @@
         second.exchange.stop();
     }
 
+    /** Guards against a peer without a desired state that counts as one with a confirmed state. */
+    @Test
+    void agesOfPeersOnlyGrow() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        second.start();
+        second.receiveListOf(first);
+        onLoop(() -> {
+            second.exchange.heartbeat(Long.MAX_VALUE);
+            return null;
+        });
+        await(() -> !first.exchange.stateAgesMillis().isEmpty());
+        assertThat(onLoop(first.exchange::stateAgesMillis)).containsExactly(Long.MAX_VALUE);
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
     private void await(Supplier<Boolean> condition) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (!onLoop(condition)) {
