Share the event loop fairly with targets that send tiny chunks without end

Cause: four answers of endless 4-byte chunks took 4.8 s of the event loop until each had 8 MiB, in turns of up to 1 MiB of a connection. Ruled out: the copying of their bytes (the other forms of the same length end within 0.12 s). Change: a connection gets at most four reads of 16 KiB before the loop serves the others, and a buffered answer may have 2 MiB unless the settings say more.

--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -54,10 +54,11 @@
     public record ResponseLimits(long maxEventBytes, long maxBufferedBytes, long maxHeldBytes) {
         /**
          * Returns the limits that hold if the settings have none: an event holds some dozens of tokens, so a few
-         * kilobytes; a process of the known installations has a heap of 160 MB, of which responses may take a fifth.
+         * kilobytes, and plain services answer with kilobytes too; a process of the known installations has a heap of
+         * 160 MB, of which responses may take a fifth.
          */
         public static ResponseLimits defaults() {
-            return new ResponseLimits(256 * 1024, 8 * 1024 * 1024, 32 * 1024 * 1024);
+            return new ResponseLimits(256 * 1024, 2 * 1024 * 1024, 32 * 1024 * 1024);
         }
     }
 }
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -4,6 +4,7 @@
 import io.endiveshed.net.http.internal.ClientConnection;
 import io.endiveshed.protocol.Header;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -26,6 +27,15 @@
  * }</pre>
  */
 public final class HttpClient implements TargetClient {
+    /** Maximum length in bytes of one read of a socket. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    /**
+     * Maximum number of reads of one connection before the event loop serves the others. A server that sends without end
+     * in tiny chunks otherwise takes the loop for tens of milliseconds at a time.
+     */
+    private static final int MAX_READS_IN_A_ROW = 4;
+
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final HttpClientOptions options;
@@ -45,6 +55,10 @@
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(64, 2 * 1024, MAX_READ_BYTES)
+                                .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         options.connectTimeout().toMillis())
                 .remoteAddress(address)
