Explain why an unsent request does not blame its target, and drop an unused topology

Cause: read again as a newcomer; the branch looked like a repetition, and EntryTopology.SINGLE had no caller. Result: no behaviour changes.

--- a/bench/src/main/java/io/endiveshed/bench/placement/EntryTopology.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/EntryTopology.java
@@ -10,9 +10,6 @@
  * @param delayBetweenMillis one-way delay between failure domains in milliseconds
  */
 record EntryTopology(int entries, int domains, double delayWithinMillis, double delayBetweenMillis) {
-    /** A single entry that sees its own placements at once. */
-    static final EntryTopology SINGLE = new EntryTopology(1, 1, 0, 0);
-
     /** Returns the failure domain of the entry or engine with the given index. */
     int domainOf(int index) {
         return index % domains;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -269,6 +269,7 @@
         cancelExchange();
         endAttempt();
         if (!sent && !mayUseKey()) {
+            // The exchange was not sent because of the key, which says nothing about the target.
             attempts--;
             failBecauseOfUncheckedKey();
             return;
