Log how old the list of targets was when an attempt was placed

The report of a request that reached a leaving target leaves three explanations open: the list of targets was old, the target was known to leave and the request had been placed before, or the target was kept as missing after an outage.

attempt.placed now has targets_age_ms, and store.regained the age that the feed had reached (age_ms). Log lines only; no decision changes.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -103,15 +103,16 @@
         boolean isWatch = version >= 0;
         version = Math.max(version, batch.upTo());
         retryMillis = FIRST_RETRY_MILLIS;
-        freshness = Freshness.confirmedAt(start);
         if (isStoreLost) {
             isStoreLost = false;
             log.change("store.regained")
                     .with("feed", name)
                     .with("version", version)
+                    .with("age_ms", ageMillis())
                     .write();
             listener.storeRegained();
         }
+        freshness = Freshness.confirmedAt(start);
         apply.accept(batch);
         long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
         if (delayMillis > 0) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -153,6 +153,7 @@
                         dialect,
                         catalog,
                         catalogFollower::ageMillis,
+                        targetsFollower::ageMillis,
                         access,
                         new EnginePicker(
                                 self, settings.domain(), targets, backlogs, peers, ports.engineMemory(), loop, log),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -20,6 +20,7 @@
  * @param dialect header fields of the platform
  * @param catalog desired state in force
  * @param catalogAgeMillis time in milliseconds since the desired state was last confirmed
+ * @param targetsAgeMillis time in milliseconds since the list of targets was last confirmed
  * @param access access check for routes and keys
  * @param enginePicker picks the targets of model services
  * @param plainPicker picks the targets of plain services
@@ -34,6 +35,7 @@
         RequestDialect dialect,
         AtomicValue<ServiceCatalog> catalog,
         LongSupplier catalogAgeMillis,
+        LongSupplier targetsAgeMillis,
         AccessPolicy access,
         TargetPicker enginePicker,
         TargetPicker plainPicker,
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -25,6 +25,7 @@
                 .with("attempt", attempts)
                 .with("predicted_ms", (long) assignment.predictedMillis())
                 .with("prompt_tokens", promptTokens())
+                .with("targets_age_ms", context.targetsAgeMillis().getAsLong())
                 .write();
     }
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -116,6 +116,7 @@
                 new FakeDialect(),
                 new AtomicValue<>(ServiceCatalog.NONE),
                 () -> catalogAgeMillis,
+                () -> 0,
                 new AccessPolicy(Duration.ofMillis(KEY_LIMIT_MILLIS), Duration.ofSeconds(2)),
                 (request, waitingSince, excluded, now) -> pick(),
                 (request, waitingSince, excluded, now) -> pick(),
