Show that a change may be known too late after an outage of the store

The entry had been out of the rotation until 1.9 s before, as it alone had lost the store.

The test plays outages of 50 ms to 8 s in virtual time, with calls that are never answered while the store is silent. It fails at the first one: a watch that began during the outage waits its whole 2.5 s and the time limit of a call before the follower asks again, 3.2 s in all, while the platform holds the entry to its bounds 3 s after the outage:

outage of 50 ms, 1 ms after the start missing (1): leaving

--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -1,6 +1,7 @@
 package io.endiveshed.gateway.internal;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
@@ -21,14 +22,22 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class FeedFollowerTest {
     private static final Duration WATCH_TIMEOUT = Duration.ofMillis(2_500);
     private static final Duration MIN_INTERVAL = Duration.ofMillis(400);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+
+    /** Time after the end of an outage from which the platform holds an entry to its bounds. */
+    private static final long CONTACT_WINDOW_MILLIS = 3_000;
+
+    /** Time from the acknowledgement of a target's leave to the last request that may reach it. */
+    private static final long DRAIN_BOUND_MILLIS = 2_000;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final FakeFeed feed = new FakeFeed();
+    private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
     private long nowMillis;
 
@@ -59,7 +68,33 @@
         assertThat(known).containsExactly("target-1");
     }
 
-    private void startFollower() {
+    /** Guards against requests to a target that left while the watch of a former outage was still waiting. */
+    @Test
+    @Tag("known-red")
+    void changeAfterAnOutageIsKnownWithinTheDrainBound() {
+        for (long untilOutageMillis : new long[] {1, 1_200, 2_490}) {
+            for (long outageMillis = 50; outageMillis <= 8_000; outageMillis += 50) {
+                feed = new FakeFeed();
+                known.clear();
+                FeedFollower<String> follower = startFollower();
+                advance(untilOutageMillis);
+
+                feed.becomeSilent();
+                advance(outageMillis);
+                feed.isSilent = false;
+                advance(CONTACT_WINDOW_MILLIS - DRAIN_BOUND_MILLIS);
+                feed.put("leaving");
+                advance(DRAIN_BOUND_MILLIS);
+
+                assertWithMessage("outage of %s ms, %s ms after the start", outageMillis, untilOutageMillis)
+                        .that(known)
+                        .containsExactly("leaving");
+                follower.stop();
+            }
+        }
+    }
+
+    private FeedFollower<String> startFollower() {
         FeedFollower<String> follower = new FeedFollower<>(
                 "targets",
                 feed,
@@ -71,6 +106,7 @@
         channel.freezeTime();
         follower.start();
         advance(1);
+        return follower;
     }
 
     private void advance(long millis) {
@@ -82,9 +118,14 @@
         }
     }
 
-    /** Feed that answers a watch as soon as an object has changed. */
+    /**
+     * Feed that answers a watch as soon as an object has changed. Calls that are open while it is silent are never
+     * answered and fail after their timeout.
+     */
     private final class FakeFeed implements ObjectFeed<String> {
         private final List<FeedEvent<String>> changes = new ArrayList<>();
+        private boolean isSilent;
+        private boolean isWatchLost;
         private CompletableFuture<Either<StoreError, FeedBatch<String>>> openWatch;
         private long openWatchVersion;
         private long openWatchEndMillis;
@@ -92,13 +133,25 @@
 
         void put(String name) {
             changes.add(new FeedEvent<>(name, changes.size() + 1, Optional.of(name)));
-            if (openWatch != null) {
+            if (openWatch != null && !isWatchLost) {
                 completeWatch();
             }
         }
 
+        void becomeSilent() {
+            isSilent = true;
+            isWatchLost = true;
+        }
+
         void expireWatch(long atMillis) {
-            if (openWatch != null && atMillis >= openWatchEndMillis) {
+            if (openWatch == null) {
+                return;
+            }
+            if (isWatchLost && atMillis >= openWatchEndMillis + CALL_TIMEOUT.toMillis()) {
+                CompletableFuture<Either<StoreError, FeedBatch<String>>> lost = openWatch;
+                openWatch = null;
+                lost.complete(Either.left(StoreError.UNKNOWN));
+            } else if (!isWatchLost && atMillis >= openWatchEndMillis) {
                 completeWatch();
             }
         }
@@ -115,8 +168,9 @@
             openWatch = new CompletableFuture<>();
             openWatchVersion = afterVersion;
             openWatchEndMillis = nowMillis + wait.toMillis();
+            isWatchLost = isSilent;
             CompletionStage<Either<StoreError, FeedBatch<String>>> result = openWatch;
-            if (afterVersion < changes.size()) {
+            if (!isWatchLost && afterVersion < changes.size()) {
                 completeWatch();
             }
             return result;
