End the grace of missing targets before the bounds hold again

What callers could see: a request sent to a target that was gone from the list for 2.6 s.

Cause: list entries expire while the store is away, so a missing target was kept for 2.2 s after the store had answered again, and removed at the next heartbeat, up to 0.5 s later. If only this instance had lost the store, the entry had not expired: the target has left, the platform counts from the removal, and it holds the instance to the bound 3 s after the failure.

Change: the grace ends one contact window after the start of the last failed call, before which the failure cannot have ended, and the removal has a timer of its own. If the store really was away the entries are written again about 2 s after its return, so what is lost is at most the few tenths of a second by which the return may precede the end of the last failed call.

Evidence: with the former end of the grace both new tests of TargetListTest fail ("expected to be at most:"; a target that is still listed 4 s after the failure); they pass now.

--- a/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
@@ -1,11 +1,13 @@
 package io.endiveshed.coordination.service;
 
 import io.endiveshed.base.id.InstanceId;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -13,22 +15,32 @@
  *
  * <p>The list entries of running targets expire while the store is unavailable and are written again shortly after it is
  * available. A target that is missing from the list then is kept for a grace period; one that is missing at any other
- * time is removed at once. A target that was listed as draining gets no new requests until it has been started again.
+ * time is removed at once. The grace period ends when the platform's bounds hold for the instance again, since the store
+ * may have been unavailable for this instance only and the target may really have left. A target that was listed as draining gets no new requests until it has been started again.
  */
 public final class TargetList {
     /** Time in nanoseconds after the recovery of the store within which targets write expired list entries again. */
     public static final long RECOVERY_GRACE_NANOS = 2_200_000_000L;
 
+    private final long contactWindowNanos;
     private final Map<InstanceId, TargetInstance> present = new HashMap<>();
     private final Map<InstanceId, Long> missingUntilNanos = new HashMap<>();
     private final Map<InstanceId, Long> drainingStartsMillis = new HashMap<>();
-    private long regainedNanos;
-    private boolean hasRegained;
+    private OptionalLong graceEndNanos = OptionalLong.empty();
 
-    /** Records that the store answers again after a failure. */
-    public void storeRegained(long nowNanos) {
-        regainedNanos = nowNanos;
-        hasRegained = true;
+    /** Creates an empty list; the bounds hold again when the contact window has passed since the end of a failure. */
+    public TargetList(Duration contactWindow) {
+        contactWindowNanos = contactWindow.toNanos();
+    }
+
+    /**
+     * Records that the store answers again after a failure.
+     *
+     * @param lastFailureNanos start of the last call that failed; the store was unavailable until then or longer
+     */
+    public void storeRegained(long lastFailureNanos, long nowNanos) {
+        long untilBoundsHold = lastFailureNanos + contactWindowNanos - nowNanos;
+        graceEndNanos = OptionalLong.of(nowNanos + Math.min(RECOVERY_GRACE_NANOS, untilBoundsHold));
     }
 
     /** Replaces the list; all targets that are not in the new one count as missing. */
@@ -57,13 +69,18 @@
         if (!present.containsKey(id)) {
             return;
         }
-        if (hasRegained && nowNanos - regainedNanos < RECOVERY_GRACE_NANOS) {
-            missingUntilNanos.putIfAbsent(id, regainedNanos + RECOVERY_GRACE_NANOS);
+        if (graceEndNanos.isPresent() && nowNanos - graceEndNanos.getAsLong() < 0) {
+            missingUntilNanos.putIfAbsent(id, graceEndNanos.getAsLong());
         } else {
             removeNow(id);
         }
     }
 
+    /** Returns the end of the grace period of the missing targets; empty if none is missing. */
+    public OptionalLong nextExpiryNanos() {
+        return missingUntilNanos.values().stream().mapToLong(Long::longValue).min();
+    }
+
     /** Removes the targets whose grace period is over; returns whether there were any. */
     public boolean removeExpired(long nowNanos) {
         Set<InstanceId> expired = new HashSet<>();
--- a/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
@@ -5,13 +5,14 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class TargetListTest {
     private static final long SECOND = 1_000_000_000L;
 
-    private final TargetList list = new TargetList();
+    private final TargetList list = new TargetList(Duration.ofSeconds(3));
 
     /** Guards against a target that gets requests after the platform has removed it from the list. */
     @Test
@@ -25,7 +26,7 @@
     @Test
     void missingTargetIsKeptForAGracePeriodAfterTheStoreRecovers() {
         list.replaceAll(List.of(target("a", false, 1), target("b", false, 1)), 10 * SECOND);
-        list.storeRegained(20 * SECOND);
+        list.storeRegained(20 * SECOND, 20 * SECOND);
         list.replaceAll(List.of(), 20 * SECOND);
         assertThat(ids()).containsExactly("a", "b");
         list.put(target("b", false, 1));
@@ -36,6 +37,28 @@
         assertThat(ids()).containsExactly("b");
     }
 
+    /** Guards against requests to a target that left while the store was unavailable for this instance only. */
+    @Test
+    void gracePeriodEndsWhenTheBoundsHoldAgain() {
+        list.replaceAll(List.of(target("a", false, 1)), 10 * SECOND);
+        list.storeRegained(20 * SECOND, 21 * SECOND);
+        list.remove(new InstanceId("a"), 21 * SECOND);
+        assertThat(ids()).containsExactly("a");
+        long expiry = list.nextExpiryNanos().orElseThrow();
+        assertThat(expiry).isAtMost(23 * SECOND);
+        assertThat(list.removeExpired(expiry)).isTrue();
+        assertThat(ids()).isEmpty();
+    }
+
+    /** Guards against requests to a target that left, after a call that took long to fail. */
+    @Test
+    void missingTargetIsRemovedAtOnceIfTheBoundsAlreadyHold() {
+        list.replaceAll(List.of(target("a", false, 1)), 10 * SECOND);
+        list.storeRegained(20 * SECOND, 24 * SECOND);
+        list.remove(new InstanceId("a"), 24 * SECOND);
+        assertThat(ids()).isEmpty();
+    }
+
     /** Guards against new requests to a draining target after a stale report that it is ready. */
     @Test
     void drainingTargetStaysUnusableUntilItIsStartedAgain() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.AtomicValue;
+import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.service.ServiceCatalog;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
@@ -29,7 +30,7 @@
     }
 
     @Override
-    public void storeRegained() {}
+    public void storeRegained(ClockReading lastFailureStart) {}
 
     private void activateIfNewer(ServiceCatalog candidate, long storeVersion) {
         ServiceCatalog previous = catalog.read();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -49,6 +49,7 @@
     private long version = -1;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private Freshness freshness = Freshness.NEVER;
+    private ClockReading lastFailureStart;
     private boolean isStoreLost;
     private boolean isStopped;
 
@@ -102,7 +103,7 @@
             return;
         }
         if (result.isLeft()) {
-            handleError(result.getLeft());
+            handleError(start, result.getLeft());
             return;
         }
         FeedBatch<T> batch = result.get();
@@ -116,7 +117,7 @@
                     .with("version", version)
                     .with("age_ms", ageMillis())
                     .write();
-            listener.storeRegained();
+            listener.storeRegained(lastFailureStart);
         }
         freshness = Freshness.confirmedAt(start);
         apply.accept(batch);
@@ -136,7 +137,7 @@
         return pace.minInterval().toMillis() - elapsedMillis;
     }
 
-    private void handleError(StoreError error) {
+    private void handleError(ClockReading start, StoreError error) {
         if (error == StoreError.TOO_OLD) {
             log.change("store.history-gone")
                     .with("feed", name)
@@ -146,6 +147,7 @@
             requestNext();
             return;
         }
+        lastFailureStart = start;
         if (!isStoreLost) {
             isStoreLost = true;
             log.change("store.lost")
@@ -176,7 +178,11 @@
         /** Called with the objects that changed. */
         void changed(FeedBatch<T> batch);
 
-        /** Called when the store responds again after it had failed, before the new batch is passed on. */
-        void storeRegained();
+        /**
+         * Called when the store responds again after it had failed, before the new batch is passed on.
+         *
+         * @param lastFailureStart start of the last call that failed
+         */
+        void storeRegained(ClockReading lastFailureStart);
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -42,7 +42,7 @@
      */
     private static final Duration UNKNOWN_ROUTE_MARGIN = Duration.ofMillis(500);
 
-    /** Interval of heartbeats to the other entries, and of the removal of expired targets and overdue prompts. */
+    /** Interval of heartbeats to the other entries, and of the removal of overdue prompts. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
     /** Interval at which requests that wait for the first desired state are checked. */
@@ -91,8 +91,12 @@
                 settings.instance(),
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
                 System.currentTimeMillis());
-        this.targets =
-                new Targets(loops, new HttpClientOptions(CONNECT_TIMEOUT, MAX_CONNECTION_IDLE, KEEP_ALIVE_MARGIN), log);
+        this.targets = new Targets(
+                loops,
+                loop,
+                new HttpClientOptions(CONNECT_TIMEOUT, MAX_CONNECTION_IDLE, KEEP_ALIVE_MARGIN),
+                settings.bounds().contactWindow(),
+                log);
         this.backlogs = new EngineBacklogTracker(targets);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
@@ -195,7 +199,6 @@
     private void heartbeat() {
         peers.heartbeat(catalogFollower.ageMillis());
         updateIsolation();
-        targets.removeExpired();
         backlogs.removeOverdue();
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.internal.PeerCodec.PeerDatagram;
@@ -153,7 +154,7 @@
     }
 
     @Override
-    public void storeRegained() {}
+    public void storeRegained(ClockReading lastFailureStart) {}
 
     private void sendToAll(byte[] bytes) {
         for (InetSocketAddress peerAddress : listedAddresses.values()) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.coordination.service.TargetList;
@@ -10,25 +11,37 @@
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
     private final EventLoopGroup loops;
+    private final EventLoop loop;
     private final HttpClientOptions clientOptions;
     private final EventLog log;
-    private final TargetList list = new TargetList();
+    private final TargetList list;
     private final Map<InstanceId, TargetRuntime> runtimesById = new HashMap<>();
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
-    Targets(EventLoopGroup loops, HttpClientOptions clientOptions, EventLog log) {
+    /** Creates an empty set of targets that is updated on the given event loop, one of the loops of the connections. */
+    Targets(
+            EventLoopGroup loops,
+            EventLoop loop,
+            HttpClientOptions clientOptions,
+            Duration contactWindow,
+            EventLog log) {
         this.loops = loops;
+        this.loop = loop;
+        this.list = new TargetList(contactWindow);
         this.clientOptions = clientOptions;
         this.log = log;
     }
@@ -86,12 +99,12 @@
     }
 
     @Override
-    public void storeRegained() {
-        list.storeRegained(System.nanoTime());
+    public void storeRegained(ClockReading lastFailureStart) {
+        list.storeRegained(lastFailureStart.monotonicNanos(), System.nanoTime());
     }
 
     /** Removes the targets that have been missing from the list for longer than their grace period. */
-    void removeExpired() {
+    private void removeExpired() {
         if (list.removeExpired(System.nanoTime())) {
             updateRuntimes("expiry", -1);
         }
@@ -123,6 +136,9 @@
             }
         }
         indexUsable();
+        list.nextExpiryNanos()
+                .ifPresent(
+                        expiry -> loop.schedule(this::removeExpired, expiry - System.nanoTime(), TimeUnit.NANOSECONDS));
     }
 
     private void remove(TargetRuntime runtime) {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/EngineBacklogTrackerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/EngineBacklogTrackerTest.java
@@ -30,7 +30,9 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Targets targets = new Targets(
             loops,
+            loops.next(),
             new HttpClientOptions(Duration.ofMillis(350), Duration.ofSeconds(4), Duration.ofSeconds(1)),
+            Duration.ofSeconds(3),
             EventLog.to(new PrintStream(new ByteArrayOutputStream())));
     private final EngineBacklogTracker tracker = new EngineBacklogTracker(targets);
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -213,6 +213,6 @@
         }
 
         @Override
-        public void storeRegained() {}
+        public void storeRegained(ClockReading lastFailureStart) {}
     }
 }
