--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -33,6 +33,12 @@
      */
     private static final long EMPTY_WATCH_DELAY_MILLIS = 100;
 
+    /**
+     * Wait of a watch after a failed call. A longer one would wait out its time on a connection that is still cut, and
+     * the recovery of the store would be noticed that much later.
+     */
+    private static final Duration PROBE_WAIT = Duration.ofMillis(50);
+
     private final String name;
     private final ObjectFeed<T> feed;
     private final Pace pace;
@@ -43,6 +49,7 @@
     private long version = -1;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private Freshness freshness = Freshness.NEVER;
+    private ClockReading lastFailureStart;
     private boolean isStoreLost;
     private boolean isStopped;
 
@@ -85,7 +92,7 @@
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(start, result, listener::listed)));
         } else {
-            feed.watch(version, pace.watchTimeout())
+            feed.watch(version, isStoreLost ? PROBE_WAIT : pace.watchTimeout())
                     .thenAccept(result -> loop.execute(() -> handleResult(start, result, listener::changed)));
         }
     }
@@ -96,22 +103,23 @@
             return;
         }
         if (result.isLeft()) {
-            handleError(result.getLeft());
+            handleError(start, result.getLeft());
             return;
         }
         FeedBatch<T> batch = result.get();
         boolean isWatch = version >= 0;
         version = Math.max(version, batch.upTo());
         retryMillis = FIRST_RETRY_MILLIS;
-        freshness = Freshness.confirmedAt(start);
         if (isStoreLost) {
             isStoreLost = false;
             log.change("store.regained")
                     .with("feed", name)
                     .with("version", version)
+                    .with("age_ms", ageMillis())
                     .write();
-            listener.storeRegained();
+            listener.storeRegained(lastFailureStart);
         }
+        freshness = Freshness.confirmedAt(start);
         apply.accept(batch);
         long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
         if (delayMillis > 0) {
@@ -129,7 +137,7 @@
         return pace.minInterval().toMillis() - elapsedMillis;
     }
 
-    private void handleError(StoreError error) {
+    private void handleError(ClockReading start, StoreError error) {
         if (error == StoreError.TOO_OLD) {
             log.change("store.history-gone")
                     .with("feed", name)
@@ -139,6 +147,7 @@
             requestNext();
             return;
         }
+        lastFailureStart = start;
         if (!isStoreLost) {
             isStoreLost = true;
             log.change("store.lost")
@@ -169,7 +178,11 @@
         /** Called with the objects that changed. */
         void changed(FeedBatch<T> batch);
 
-        /** Called when the store responds again after it had failed, before the new batch is passed on. */
-        void storeRegained();
+        /**
+         * Called when the store responds again after it had failed, before the new batch is passed on.
+         *
+         * @param lastFailureStart start of the last call that failed
+         */
+        void storeRegained(ClockReading lastFailureStart);
     }
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -1,9 +1,11 @@
 package io.endiveshed.gateway.internal;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.gateway.GatewaySettings;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
 import io.endiveshed.ports.platform.ObjectFeed;
@@ -24,18 +26,18 @@
 import org.junit.jupiter.api.Test;
 
 final class FeedFollowerTest {
-    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(2_500);
     private static final Duration MIN_INTERVAL = Duration.ofMillis(400);
+    private static final FeedFollower.Pace PACE = new FeedFollower.Pace(Duration.ofMillis(2_500), MIN_INTERVAL);
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final FakeFeed feed = new FakeFeed();
+    private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
     private long nowMillis;
 
     /** Guards against one call for each target of a large fleet whose targets start within seconds. */
     @Test
     void changesThatFollowEachOtherAreReadWithFewCalls() {
-        startFollower();
+        startFollower(PACE);
         for (int i = 0; i < 172; i++) {
             feed.put("target-" + i);
             advance(25);
@@ -50,7 +52,7 @@
     /** Guards against a change of a quiet fleet that is known only after the minimum interval. */
     @Test
     void singleChangeIsKnownAtOnce() {
-        startFollower();
+        startFollower(PACE);
         advance(1_000);
 
         feed.put("target-1");
@@ -59,11 +61,61 @@
         assertThat(known).containsExactly("target-1");
     }
 
-    private void startFollower() {
+    /** Guards against requests to a target that left while the watch of a former outage was still waiting. */
+    @Test
+    void changeAfterAnOutageIsKnownWithinTheDrainBound() {
+        assertChangeAfterAnOutageIsKnown(3_000, 2_000);
+    }
+
+    /** Guards against durations that fit only the bounds of the deployments known so far. */
+    @Test
+    void changeAfterAnOutageIsKnownWithinOtherBounds() {
+        assertChangeAfterAnOutageIsKnown(1_500, 1_000);
+        assertChangeAfterAnOutageIsKnown(4_000, 3_000);
+        assertChangeAfterAnOutageIsKnown(6_000, 2_000);
+    }
+
+    private void assertChangeAfterAnOutageIsKnown(long contactWindowMillis, long drainMillis) {
+        GatewaySettings.Bounds bounds = bounds(contactWindowMillis, drainMillis);
+        for (long untilOutageMillis : new long[] {1, 1_200, 2_490}) {
+            for (long outageMillis = 50; outageMillis <= 8_000; outageMillis += 50) {
+                feed = new FakeFeed();
+                known.clear();
+                FeedFollower<String> follower = startFollower(FeedPaces.targets(bounds));
+                advance(untilOutageMillis);
+
+                feed.becomeSilent();
+                advance(outageMillis);
+                feed.isSilent = false;
+                advance(contactWindowMillis - drainMillis);
+                feed.put("leaving");
+                advance(drainMillis);
+
+                assertWithMessage("outage of %s ms, %s ms after the start", outageMillis, untilOutageMillis)
+                        .that(known)
+                        .containsExactly("leaving");
+                follower.stop();
+            }
+        }
+    }
+
+    private static GatewaySettings.Bounds bounds(long contactWindowMillis, long drainMillis) {
+        return new GatewaySettings.Bounds(
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(8),
+                Duration.ofMillis(contactWindowMillis),
+                Duration.ofMillis(drainMillis),
+                Duration.ofSeconds(9),
+                0.2,
+                100);
+    }
+
+    private FeedFollower<String> startFollower(FeedFollower.Pace pace) {
         FeedFollower<String> follower = new FeedFollower<>(
                 "targets",
                 feed,
-                new FeedFollower.Pace(WATCH_TIMEOUT, MIN_INTERVAL),
+                pace,
                 channel.eventLoop(),
                 () -> new ClockReading(TimeUnit.MILLISECONDS.toNanos(nowMillis), nowMillis),
                 EventLog.to(new PrintStream(new ByteArrayOutputStream())),
@@ -71,6 +123,7 @@
         channel.freezeTime();
         follower.start();
         advance(1);
+        return follower;
     }
 
     private void advance(long millis) {
@@ -82,9 +135,14 @@
         }
     }
 
-    /** Feed that answers a watch as soon as an object has changed. */
+    /**
+     * Feed that answers a watch as soon as an object has changed. Calls that are open while it is silent are never
+     * answered and fail after their timeout.
+     */
     private final class FakeFeed implements ObjectFeed<String> {
         private final List<FeedEvent<String>> changes = new ArrayList<>();
+        private boolean isSilent;
+        private boolean isWatchLost;
         private CompletableFuture<Either<StoreError, FeedBatch<String>>> openWatch;
         private long openWatchVersion;
         private long openWatchEndMillis;
@@ -92,13 +150,25 @@
 
         void put(String name) {
             changes.add(new FeedEvent<>(name, changes.size() + 1, Optional.of(name)));
-            if (openWatch != null) {
+            if (openWatch != null && !isWatchLost) {
                 completeWatch();
             }
         }
 
+        void becomeSilent() {
+            isSilent = true;
+            isWatchLost = true;
+        }
+
         void expireWatch(long atMillis) {
-            if (openWatch != null && atMillis >= openWatchEndMillis) {
+            if (openWatch == null) {
+                return;
+            }
+            if (isWatchLost && atMillis >= openWatchEndMillis + CALL_TIMEOUT.toMillis()) {
+                CompletableFuture<Either<StoreError, FeedBatch<String>>> lost = openWatch;
+                openWatch = null;
+                lost.complete(Either.left(StoreError.UNKNOWN));
+            } else if (!isWatchLost && atMillis >= openWatchEndMillis) {
                 completeWatch();
             }
         }
@@ -115,8 +185,9 @@
             openWatch = new CompletableFuture<>();
             openWatchVersion = afterVersion;
             openWatchEndMillis = nowMillis + wait.toMillis();
+            isWatchLost = isSilent;
             CompletionStage<Either<StoreError, FeedBatch<String>>> result = openWatch;
-            if (afterVersion < changes.size()) {
+            if (!isWatchLost && afterVersion < changes.size()) {
                 completeWatch();
             }
             return result;
@@ -143,6 +214,6 @@
         }
 
         @Override
-        public void storeRegained() {}
+        public void storeRegained(ClockReading lastFailureStart) {}
     }
 }
