--- a/gateway/src/main/java/io/endiveshed/gateway/CallerRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/CallerRequest.java
@@ -1,6 +1,8 @@
 package io.endiveshed.gateway;
 
+import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.net.http.HttpRequestData;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -12,6 +14,7 @@
  * @param apiKey API key of the caller's client account
  * @param timeoutMillis time in milliseconds for which the caller waits
  * @param promptSize size of the prompt, if the request is for a model
+ * @param sharedParts parts of the prompt that other prompts may have in common with it, in their order
  * @param lastEventId id of the last event that the caller received of a stream it resumes
  * @param data the HTTP request as received
  */
@@ -21,8 +24,13 @@
         Optional<String> apiKey,
         OptionalLong timeoutMillis,
         Optional<PromptSize> promptSize,
+        List<PromptPartId> sharedParts,
         OptionalLong lastEventId,
         HttpRequestData data) {
+    public CallerRequest {
+        sharedParts = List.copyOf(sharedParts);
+    }
+
     /**
      * Size of a prompt and of its output, in tokens.
      *
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.gateway.CallerRequest.PromptSize;
 import java.util.stream.Collectors;
 
@@ -42,6 +43,7 @@
                 .with("reason", reason)
                 .with("elapsed_ms", (long) request.elapsedMillis(System.nanoTime()))
                 .with("predicted_ms", (long) assignment.predictedMillis())
+                .with("prompt_parts", promptParts())
                 .write();
     }
 
@@ -78,6 +80,7 @@
                 .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
                 .with("first_ms", (long) firstMillis)
                 .with("prompt_tokens", promptTokens())
+                .with("prompt_parts", promptParts())
                 .with("max_pause_ms", relay.maxPauseMillis())
                 .with("total_ms", (long) totalMillis)
                 .with("state_version", context.catalog().read().version())
@@ -93,6 +96,10 @@
                         .collect(Collectors.joining(","));
     }
 
+    private String promptParts() {
+        return request.caller().sharedParts().stream().map(PromptPartId::value).collect(Collectors.joining(","));
+    }
+
     private long promptTokens() {
         return request.caller().promptSize().map(PromptSize::promptTokens).orElse(0L);
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -142,6 +142,7 @@
                 Optional.of("key-1"),
                 OptionalLong.empty(),
                 Optional.empty(),
+                List.of(),
                 OptionalLong.empty(),
                 new HttpRequestData("POST", "/stream/x", new DefaultHttpHeaders(), new byte[0]));
         long nowNanos = System.nanoTime();
