Refuse prompts with a part on which engines crash

What callers saw: one part of a prompt crashed each engine that began to write an answer on it.

Cause: each attempt was judged alone. A broken answer counted against its engine, which was avoided, and the prompt was sent to a healthy one; nothing looked at what the prompts of crashed engines have in common. The class of fault is a retry that carries its cause along.

Change: an entry whose attempt at an engine breaks off asks the engine for its report. If the engine does not answer, the parts of all its prompts that broke off there are recorded as a crash and sent to the other entries (CrashMonitor). CrashingParts, which has no network and no clock, finds the part that is in each crash and in no answer since: three crashes for a part that was never answered, six for one that was, at least half of the crashes that no blocked part explains, a tie waits for the next crash. Prompts with the part are refused for five minutes by all entries, at once and with a Retry-After that says so; prompts with a part that has three crashes are put off while the decision waits 0.1 s for the reports of others. An answer ends the block everywhere. Heartbeats repeat the blocks, so an entry that starts again hears of them within 0.5 s. Sound prompts that share account, route and all other parts go on.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -118,6 +118,10 @@
     private Either<Failure, Assignment> pickTarget(long nowNanos) {
         TargetPicker picker =
                 request.service().engineCosts().isPresent() ? context.enginePicker() : context.plainPicker();
+        Optional<Failure> refusal = context.crashes().refusal(request.caller().sharedParts());
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
         long waitingSinceNanos = relay.hasStarted() ? relay.lastWriteNanos() : request.arrivedNanos();
         return picker.pick(request, waitingSinceNanos, excludedTargets, nowNanos);
     }
@@ -208,6 +212,7 @@
             return;
         }
         assignment.target().failureHistory().recordSuccess();
+        context.crashes().answered(request.caller().sharedParts());
         from.deliver();
         finish(from.head().status(), "answered");
     }
@@ -290,6 +295,7 @@
             return;
         }
         target.failureHistory().recordFailure();
+        context.crashes().attemptBroken(target, request.caller().sharedParts());
         mayHaveRun = true;
         excludedTargets.add(target);
         retryOrElse(() -> fail(failureWithUnknownOutcome(message)), false);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -64,6 +64,7 @@
     private final AtomicValue<ServiceCatalog> catalog = new AtomicValue<>(ServiceCatalog.NONE);
     private final Targets targets;
     private final EngineBacklogTracker backlogs;
+    private final CrashMonitor crashes;
     private final PeerExchange peers;
     private final AccessPolicy access;
     private final StartupRequestQueue startupQueue = new StartupRequestQueue(this::canServe);
@@ -98,12 +99,16 @@
                 settings.bounds().contactWindow(),
                 log);
         this.backlogs = new EngineBacklogTracker(targets);
+        GatewayMetrics metrics = new GatewayMetrics(registry);
+        this.crashes = new CrashMonitor(ports.engineMemory(), loop, metrics, log);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
                 settings.peers(),
                 loops,
                 log,
-                backlogs);
+                backlogs,
+                crashes);
+        crashes.shareWith(peers);
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
                 settings.bounds().configurationApply().plus(UNKNOWN_ROUTE_MARGIN),
@@ -133,8 +138,9 @@
                         new PlainTargetPicker(targets, settings.domain()),
                         targets::findAt,
                         this::budget,
+                        crashes,
                         new ResponseMemory(settings.responses()),
-                        new GatewayMetrics(registry),
+                        metrics,
                         log),
                 startupQueue);
     }
@@ -205,7 +211,7 @@
     }
 
     private void heartbeat() {
-        peers.heartbeat(catalogFollower.ageMillis());
+        peers.heartbeat(catalogFollower.ageMillis(), crashes.blockedParts());
         updateIsolation();
         backlogs.removeOverdue();
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -26,6 +26,7 @@
  * @param plainPicker picks the targets of plain services
  * @param targetAt finds the target that listens on an address
  * @param budgets retry budget of each service
+ * @param crashes engines that crash, and the prompts at fault
  * @param responseMemory memory of incomplete responses
  * @param metrics counters and histograms
  * @param log structured log
@@ -41,6 +42,7 @@
         TargetPicker plainPicker,
         Function<Endpoint, Optional<TargetRuntime>> targetAt,
         Function<ServiceName, AttemptBudget> budgets,
+        CrashMonitor crashes,
         ResponseMemory responseMemory,
         GatewayMetrics metrics,
         EventLog log) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -1,12 +1,17 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.PromptPartId;
+import io.endiveshed.coordination.crash.BlockedPart;
+import io.endiveshed.coordination.crash.EngineCrash;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -20,15 +25,49 @@
     private static final int HEARTBEAT = 0;
     private static final int STARTED = 1;
     private static final int ENDED = 2;
+    private static final int CRASHED = 3;
+    private static final int ANSWERED = 4;
 
     /** Maximum number of engines in one notice: the primary engine and its helpers. */
     private static final int MAX_ENGINES = 17;
 
+    /** Maximum number of prompt parts in one datagram, which keeps it within one packet of a network. */
+    private static final int MAX_PARTS = 64;
+
     private PeerCodec() {}
 
-    /** Encodes a heartbeat with the age of the sender's desired state in milliseconds. */
-    static byte[] heartbeat(PeerIncarnation sender, long stateAgeMillis) {
-        return pack(sender, HEARTBEAT, packer -> packer.packLong(stateAgeMillis));
+    /** Encodes a heartbeat with the age of the sender's desired state in milliseconds and the parts that it blocks. */
+    static byte[] heartbeat(PeerIncarnation sender, long stateAgeMillis, List<BlockedPart> blockedParts) {
+        return pack(sender, HEARTBEAT, packer -> {
+            packer.packLong(stateAgeMillis);
+            packer.packArrayHeader(Math.min(MAX_PARTS, blockedParts.size()));
+            for (BlockedPart blocked : blockedParts.subList(0, Math.min(MAX_PARTS, blockedParts.size()))) {
+                packer.packString(blocked.part().value());
+                packer.packLong(blocked.ageMillis());
+            }
+        });
+    }
+
+    /** Encodes the crash of an engine. */
+    static byte[] crashed(PeerIncarnation sender, EngineCrash crash) {
+        return pack(sender, CRASHED, packer -> {
+            packer.packString(crash.engine().value());
+            packer.packLong(crash.startedMillis());
+            packParts(packer, crash.parts());
+        });
+    }
+
+    /** Encodes the parts of a prompt that was answered. */
+    static byte[] answered(PeerIncarnation sender, Set<PromptPartId> parts) {
+        return pack(sender, ANSWERED, packer -> packParts(packer, parts));
+    }
+
+    private static void packParts(MessageBufferPacker packer, Set<PromptPartId> parts) throws IOException {
+        List<PromptPartId> packed = parts.stream().limit(MAX_PARTS).toList();
+        packer.packArrayHeader(packed.size());
+        for (PromptPartId part : packed) {
+            packer.packString(part.value());
+        }
     }
 
     /** Encodes the end of a prompt, with the prefill in milliseconds that each of its engines is spared. */
@@ -70,18 +109,12 @@
             PeerIncarnation sender =
                     new PeerIncarnation(new InstanceId(unpacker.unpackString()), unpacker.unpackLong());
             return switch (kind) {
-                case HEARTBEAT ->
-                    Optional.of(new PeerDatagram(sender, Optional.empty(), -1, 0, readStateAge(unpacker)));
-                case STARTED ->
-                    Optional.of(
-                            new PeerDatagram(sender, Optional.of(readNotice(unpacker)), -1, 0, OptionalLong.empty()));
+                case HEARTBEAT -> Optional.of(PeerDatagram.ofHeartbeat(sender, readHeartbeat(unpacker)));
+                case STARTED -> Optional.of(PeerDatagram.ofStart(sender, readNotice(unpacker)));
                 case ENDED ->
-                    Optional.of(new PeerDatagram(
-                            sender,
-                            Optional.empty(),
-                            unpacker.unpackLong(),
-                            unpacker.unpackFloat(),
-                            OptionalLong.empty()));
+                    Optional.of(PeerDatagram.ofEnd(sender, new End(unpacker.unpackLong(), unpacker.unpackFloat())));
+                case CRASHED -> Optional.of(PeerDatagram.ofCrash(sender, readCrash(unpacker)));
+                case ANSWERED -> Optional.of(PeerDatagram.ofAnswer(sender, readParts(unpacker)));
                 default -> Optional.empty();
             };
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -89,9 +122,36 @@
         }
     }
 
-    /** Reads the age of the sender's desired state, which heartbeats of earlier builds do not have. */
-    private static OptionalLong readStateAge(MessageUnpacker unpacker) throws IOException {
-        return unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+    /** Reads a heartbeat; those of earlier builds have no age, or no blocked parts. */
+    private static Heartbeat readHeartbeat(MessageUnpacker unpacker) throws IOException {
+        OptionalLong stateAge = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+        List<BlockedPart> blocked = new ArrayList<>();
+        int count = unpacker.hasNext() ? readPartCount(unpacker) : 0;
+        for (int i = 0; i < count; i++) {
+            blocked.add(new BlockedPart(new PromptPartId(unpacker.unpackString()), unpacker.unpackLong()));
+        }
+        return new Heartbeat(stateAge, blocked);
+    }
+
+    private static EngineCrash readCrash(MessageUnpacker unpacker) throws IOException {
+        return new EngineCrash(new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), readParts(unpacker));
+    }
+
+    private static Set<PromptPartId> readParts(MessageUnpacker unpacker) throws IOException {
+        int count = readPartCount(unpacker);
+        Set<PromptPartId> parts = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            parts.add(new PromptPartId(unpacker.unpackString()));
+        }
+        return parts;
+    }
+
+    private static int readPartCount(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        if (count > MAX_PARTS) {
+            throw new IllegalArgumentException("a datagram names at most " + MAX_PARTS + " parts, not " + count);
+        }
+        return count;
     }
 
     private static PlacementNotice readNotice(MessageUnpacker unpacker) throws IOException {
@@ -146,18 +206,61 @@
     record PeerIncarnation(InstanceId instance, long startedMillis) {}
 
     /**
-     * Decoded datagram. A heartbeat carries neither a start nor an end.
+     * State of an entry that it repeats.
+     *
+     * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
+     * @param blockedParts parts of prompts that the sender blocks
+     */
+    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedPart> blockedParts) {}
+
+    /**
+     * End of a prompt.
+     *
+     * @param number number of the prompt
+     * @param remainingPrefillMillis prefill in milliseconds that each engine of the prompt is spared
+     */
+    record End(long number, double remainingPrefillMillis) {}
+
+    /**
+     * Decoded datagram, of which one field after the sender is set.
      *
      * @param sender entry that sent it
+     * @param heartbeat state of the sender
      * @param started prompt that started
-     * @param endedNumber number of the prompt that ended; -1 if none
-     * @param remainingPrefillMillis prefill in milliseconds that each engine of the ended prompt is spared
-     * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
+     * @param ended prompt that ended
+     * @param crash engine that crashed
+     * @param answeredParts parts of a prompt that was answered, of which crashes had accused some
      */
     record PeerDatagram(
             PeerIncarnation sender,
+            Optional<Heartbeat> heartbeat,
             Optional<PlacementNotice> started,
-            long endedNumber,
-            double remainingPrefillMillis,
-            OptionalLong stateAgeMillis) {}
+            Optional<End> ended,
+            Optional<EngineCrash> crash,
+            Set<PromptPartId> answeredParts) {
+        private static PeerDatagram ofHeartbeat(PeerIncarnation sender, Heartbeat heartbeat) {
+            return new PeerDatagram(
+                    sender, Optional.of(heartbeat), Optional.empty(), Optional.empty(), Optional.empty(), Set.of());
+        }
+
+        private static PeerDatagram ofStart(PeerIncarnation sender, PlacementNotice started) {
+            return new PeerDatagram(
+                    sender, Optional.empty(), Optional.of(started), Optional.empty(), Optional.empty(), Set.of());
+        }
+
+        private static PeerDatagram ofEnd(PeerIncarnation sender, End ended) {
+            return new PeerDatagram(
+                    sender, Optional.empty(), Optional.empty(), Optional.of(ended), Optional.empty(), Set.of());
+        }
+
+        private static PeerDatagram ofCrash(PeerIncarnation sender, EngineCrash crash) {
+            return new PeerDatagram(
+                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(crash), Set.of());
+        }
+
+        private static PeerDatagram ofAnswer(PeerIncarnation sender, Set<PromptPartId> parts) {
+            return new PeerDatagram(
+                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), parts);
+        }
+    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -1,7 +1,10 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.crash.BlockedPart;
+import io.endiveshed.coordination.crash.EngineCrash;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.gateway.EntryRecord;
@@ -25,16 +28,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Sends notices of the prompts that this entry places to the other entries, and receives theirs. Confined to one event
+ * Sends notices of the prompts that this entry places, and of engines that crash, to the other entries, and receives
+ * theirs. Confined to one event
  * loop.
  *
  * <p>Datagrams may be lost. A lost start makes predictions worse while its request runs, and a lost end is replaced by
  * the predicted end.
  */
-final class PeerExchange implements FeedFollower.Listener<EntryRecord> {
+final class PeerExchange implements FeedFollower.Listener<EntryRecord>, CrashNotices {
     /** Time without a datagram after which a peer counts as gone or unreachable, and its prompts no longer count. */
     private static final long PEER_TIMEOUT_NANOS = 2_000_000_000L;
 
@@ -43,6 +48,7 @@
     private final EventLoopGroup loops;
     private final EventLog log;
     private final PlacementListener listener;
+    private final CrashListener crashListener;
     private final Map<InstanceId, InetSocketAddress> listedAddresses = new HashMap<>();
     private final Map<InstanceId, PeerState> activePeers = new HashMap<>();
     private final OwnPlacements ownPlacements = new OwnPlacements();
@@ -54,12 +60,14 @@
             InetSocketAddress address,
             EventLoopGroup loops,
             EventLog log,
-            PlacementListener listener) {
+            PlacementListener listener,
+            CrashListener crashListener) {
         this.self = self;
         this.address = address;
         this.loops = loops;
         this.log = log;
         this.listener = listener;
+        this.crashListener = crashListener;
     }
 
     void start() {
@@ -103,11 +111,11 @@
     }
 
     /**
-     * Sends a heartbeat with the age of the own desired state to the peers, and drops the peers that have sent none for
-     * too long.
+     * Sends a heartbeat with the age of the own desired state and the blocked parts to the peers, and drops the peers
+     * that have sent none for too long.
      */
-    void heartbeat(long stateAgeMillis) {
-        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis));
+    void heartbeat(long stateAgeMillis, List<BlockedPart> blockedParts) {
+        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blockedParts));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -133,6 +141,16 @@
         sendToAll(PeerCodec.ended(self, number, remainingPrefillMillis));
     }
 
+    @Override
+    public void crashed(EngineCrash crash) {
+        sendToAll(PeerCodec.crashed(self, crash));
+    }
+
+    @Override
+    public void answered(Set<PromptPartId> parts) {
+        sendToAll(PeerCodec.answered(self, parts));
+    }
+
     @Override
     public void listed(FeedBatch<EntryRecord> batch) {
         listedAddresses.clear();
@@ -183,15 +201,24 @@
             sendPlacementsToNewPeers();
         }
         peer.lastReceivedNanos = System.nanoTime();
-        if (datagram.stateAgeMillis().isPresent()) {
-            peer.stateAgeMillis = datagram.stateAgeMillis();
-            peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
+        if (datagram.heartbeat().isPresent()) {
+            receiveHeartbeat(peer, datagram.heartbeat().get());
         }
         int owner = peer.owner;
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
-        if (datagram.endedNumber() >= 0) {
-            listener.ended(owner, datagram.endedNumber(), datagram.remainingPrefillMillis());
+        datagram.ended().ifPresent(end -> listener.ended(owner, end.number(), end.remainingPrefillMillis()));
+        datagram.crash().ifPresent(crash -> crashListener.crashedElsewhere(sender.instance(), crash));
+        if (!datagram.answeredParts().isEmpty()) {
+            crashListener.answeredElsewhere(datagram.answeredParts());
+        }
+    }
+
+    private void receiveHeartbeat(PeerState peer, PeerCodec.Heartbeat heartbeat) {
+        if (heartbeat.stateAgeMillis().isPresent()) {
+            peer.stateAgeMillis = heartbeat.stateAgeMillis();
+            peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
         }
+        heartbeat.blockedParts().forEach(crashListener::blockedElsewhere);
     }
 
     /** Sends the prompts that run to each newly active peer, once the platform lists its address. */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -111,6 +111,8 @@
     }
 
     private void start() {
+        GatewayMetrics metrics = new GatewayMetrics(new MetricRegistry());
+        EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
         GatewayContext context = new GatewayContext(
                 channel.eventLoop(),
                 new FakeDialect(),
@@ -122,9 +124,10 @@
                 (request, waitingSince, excluded, now) -> pick(),
                 endpoint -> Optional.empty(),
                 service -> budget,
+                new CrashMonitor(new RespondingEngines(), channel.eventLoop(), metrics, log),
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
-                new GatewayMetrics(new MetricRegistry()),
-                EventLog.to(new PrintStream(new ByteArrayOutputStream())));
+                metrics,
+                log);
         RouteRule route = RouteRule.builder("stream")
                 .host("a.example")
                 .pathPrefix("/stream/")
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -3,16 +3,25 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.PromptPartId;
+import io.endiveshed.coordination.crash.BlockedPart;
+import io.endiveshed.coordination.crash.EngineCrash;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class PeerCodecTest {
     private static final PeerCodec.PeerIncarnation SENDER =
             new PeerCodec.PeerIncarnation(new InstanceId("entry-1"), 42);
+    private static final BlockedPart BLOCKED = new BlockedPart(new PromptPartId("5c1e07a2"), 800);
+    private static final EngineCrash CRASH = new EngineCrash(
+            new InstanceId("a"),
+            1_779_248_684_829L,
+            Set.of(new PromptPartId("5c1e07a2"), new PromptPartId("91bd3f06")));
     private static final PlacementNotice NOTICE = new PlacementNotice(
             7,
             List.of(new InstanceId("a"), new InstanceId("b")),
@@ -36,34 +45,51 @@
         assertThat(started.started()).isEqualTo(Optional.of(NOTICE));
         PeerCodec.PeerDatagram ended =
                 PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
-        assertThat(ended.endedNumber()).isEqualTo(7);
-        assertThat(ended.remainingPrefillMillis()).isEqualTo(12.5);
-        PeerCodec.PeerDatagram heartbeat =
-                PeerCodec.read(PeerCodec.heartbeat(SENDER, 1_200)).orElseThrow();
+        assertThat(ended.ended()).isEqualTo(Optional.of(new PeerCodec.End(7, 12.5)));
+        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED)))
+                .orElseThrow();
         assertThat(heartbeat.started()).isEqualTo(Optional.empty());
-        assertThat(heartbeat.stateAgeMillis()).isEqualTo(OptionalLong.of(1_200));
-        assertThat(started.stateAgeMillis()).isEqualTo(OptionalLong.empty());
+        assertThat(heartbeat.heartbeat())
+                .isEqualTo(Optional.of(new PeerCodec.Heartbeat(OptionalLong.of(1_200), List.of(BLOCKED))));
+        assertThat(started.heartbeat()).isEqualTo(Optional.empty());
+    }
+
+    /** Guards against crashes and answers that other entries attribute to the wrong engine or parts. */
+    @Test
+    void decodesCrashesAndAnswers() {
+        PeerCodec.PeerDatagram crashed =
+                PeerCodec.read(PeerCodec.crashed(SENDER, CRASH)).orElseThrow();
+        assertThat(crashed.crash()).isEqualTo(Optional.of(CRASH));
+        PeerCodec.PeerDatagram answered =
+                PeerCodec.read(PeerCodec.answered(SENDER, CRASH.parts())).orElseThrow();
+        assertThat(answered.answeredParts()).isEqualTo(CRASH.parts());
+        assertThat(answered.crash()).isEqualTo(Optional.empty());
     }
 
     /** Guards against a notice that is decoded from an incomplete datagram. */
     @Test
     void ignoresTruncatedDatagrams() {
-        byte[] whole = PeerCodec.started(SENDER, NOTICE);
-        for (int length = 0; length < whole.length; length++) {
-            assertThat(PeerCodec.read(Arrays.copyOf(whole, length))).isEqualTo(Optional.empty());
+        for (byte[] whole : List.of(PeerCodec.started(SENDER, NOTICE), PeerCodec.crashed(SENDER, CRASH))) {
+            for (int length = 0; length < whole.length; length++) {
+                assertThat(PeerCodec.read(Arrays.copyOf(whole, length))).isEqualTo(Optional.empty());
+            }
         }
     }
 
     /** Guards against a corrupt datagram, or one of another program, that makes the decoder throw. */
     @Test
     void corruptDatagramsDoNotThrow() {
-        byte[] whole = PeerCodec.started(SENDER, NOTICE);
         Random random = new Random(20_261_204);
-        for (int i = 0; i < 20_000; i++) {
-            byte[] corrupt = whole.clone();
-            corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
-            corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
-            PeerCodec.read(corrupt);
+        for (byte[] whole : List.of(
+                PeerCodec.started(SENDER, NOTICE),
+                PeerCodec.crashed(SENDER, CRASH),
+                PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED)))) {
+            for (int i = 0; i < 20_000; i++) {
+                byte[] corrupt = whole.clone();
+                corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
+                corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
+                PeerCodec.read(corrupt);
+            }
         }
         assertThat(PeerCodec.read(new byte[] {2})).isEqualTo(Optional.empty());
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -2,10 +2,16 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.PromptPartId;
+import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
+import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
 import io.netty.channel.EventLoopGroup;
@@ -53,7 +59,7 @@
         second.start();
         second.receiveListOf(first);
         onLoop(() -> {
-            second.exchange.heartbeat(0);
+            second.exchange.heartbeat(0, List.of());
             return null;
         });
         await(() -> !second.receivedNumbers.isEmpty());
@@ -71,7 +77,7 @@
         second.start();
         second.receiveListOf(first);
         onLoop(() -> {
-            second.exchange.heartbeat(Long.MAX_VALUE);
+            second.exchange.heartbeat(Long.MAX_VALUE, List.of());
             return null;
         });
         await(() -> !first.exchange.stateAgesMillis().isEmpty());
@@ -80,6 +86,53 @@
         second.exchange.stop();
     }
 
+    /** Guards against an entry that has seen no crash itself and sends a prompt on which engines of others crashed. */
+    @Test
+    void crashesSeenByAnotherEntryBlockPromptsHere() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        second.start();
+        first.receiveListOf(second);
+        second.receiveListOf(first);
+        List<PromptPartId> parts = List.of(new PromptPartId("bad"));
+        for (int i = 1; i <= 3; i++) {
+            onLoop(() -> first.breakAttemptOn(parts));
+        }
+        await(() -> second.crashes.refusal(parts).isPresent());
+
+        onLoop(() -> {
+            second.crashes.answered(parts);
+            return null;
+        });
+        await(() -> first.crashes.refusal(parts).isEmpty());
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
+    /** Guards against an entry that was restarted and does not know what the others refuse. */
+    @Test
+    void blockedPartsAreRepeatedToEntriesThatStartLater() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        List<PromptPartId> parts = List.of(new PromptPartId("bad"));
+        for (int i = 1; i <= 3; i++) {
+            onLoop(() -> first.breakAttemptOn(parts));
+        }
+        await(() -> !first.crashes.blockedParts().isEmpty());
+
+        second.start();
+        first.receiveListOf(second);
+        onLoop(() -> {
+            first.exchange.heartbeat(0, first.crashes.blockedParts());
+            return null;
+        });
+        await(() -> second.crashes.refusal(parts).isPresent());
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
     private void await(Supplier<Boolean> condition) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (!onLoop(condition)) {
@@ -95,6 +148,11 @@
     private final class Entry implements PeerExchange.PlacementListener {
         private final EntryRecord record;
         private final PeerExchange exchange;
+        private final EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
+        private final RespondingEngines engines = new RespondingEngines();
+        private final CrashMonitor crashes =
+                new CrashMonitor(engines, loops.next(), new GatewayMetrics(new MetricRegistry()), log);
+        private int lastEngine;
         private final List<Long> receivedNumbers = new ArrayList<>();
 
         Entry(String name, long startedMillis) throws SocketException {
@@ -105,8 +163,22 @@
                     new PeerCodec.PeerIncarnation(record.instance(), startedMillis),
                     address,
                     loops,
-                    EventLog.to(new PrintStream(new ByteArrayOutputStream())),
-                    this);
+                    log,
+                    this,
+                    crashes);
+            crashes.shareWith(exchange);
+        }
+
+        /** Breaks off the answer to a prompt with the given parts by a crash of its engine, a new one each time. */
+        boolean breakAttemptOn(List<PromptPartId> parts) {
+            lastEngine++;
+            InstanceId id = new InstanceId("engine-" + lastEngine);
+            engines.crash(id);
+            Endpoint endpoint = new Endpoint("127.0.0.1", 1);
+            TargetInstance engine =
+                    new TargetInstance(id, new ServiceName("model"), endpoint, new FailureDomain("north"), 8, false, 1);
+            crashes.attemptBroken(new TargetRuntime(engine, new HttpClient(loops, endpoint.socketAddress())), parts);
+            return true;
         }
 
         void start() {
