Keep new requests away from targets that say in an answer that they leave

What callers would see: requests go on to a target that has announced its end, until the store's list says so.

Cause: the field was not read. Change: the head of each answer to a request is looked at, also of one that is ignored otherwise. The target is unusable from then on, whatever lists of the store say, until it is started again; a request that was placed before is looked at again when it is written, and a target of which that fails for this reason is not blamed.

--- a/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Records that a target has said itself that it leaves, whatever the list says until it is started again. */
+    public void leaves(TargetInstance target) {
+        drainingStartsMillis.put(target.id(), target.startedMillis());
+    }
+
     /** Removes a target that is no longer listed, after the grace period if one is running. */
     public void remove(InstanceId id, long nowNanos) {
         if (!present.containsKey(id)) {
--- a/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
@@ -67,6 +67,16 @@
         assertThat(list.isUsable(target("a", false, 2))).isTrue();
     }
 
+    /** Guards against new requests to a target that left, after a list of the store that does not know it yet. */
+    @Test
+    void targetThatSaysThatItLeavesStaysUnusableUntilItIsStartedAgain() {
+        list.put(target("a", false, 1));
+        list.leaves(target("a", false, 1));
+        list.replaceAll(List.of(target("a", false, 1)), 10 * SECOND);
+        assertThat(list.isUsable(target("a", false, 1))).isFalse();
+        assertThat(list.isUsable(target("a", false, 2))).isTrue();
+    }
+
     private List<String> ids() {
         return list.targets().stream().map(target -> target.id().value()).toList();
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -9,10 +9,11 @@
  * @param status HTTP status
  * @param isNotRun whether the target states that it did not run the request and never will
  * @param isAuthentic whether the response carries the target's signature
+ * @param isLeaving whether the target says that it leaves and wants no further requests
  * @param failedDependency address of the engine that the target names as the cause of the failure
  */
 public record TargetResponseHead(
-        int status, boolean isNotRun, boolean isAuthentic, Optional<Endpoint> failedDependency) {
+        int status, boolean isNotRun, boolean isAuthentic, boolean isLeaving, Optional<Endpoint> failedDependency) {
     /** Returns whether the status is in the 2xx range. */
     public boolean isSuccess() {
         return status / 100 == 2;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -175,6 +175,7 @@
                                 lastEventId));
         response = new TargetResponse(
                 this,
+                target,
                 context.dialect(),
                 request.route().kind() == RouteKind.STREAMING,
                 relay,
@@ -188,12 +189,19 @@
                         data.body(),
                         current,
                         head -> context.dialect().isResponseTo(request.caller().id(), head),
-                        this::mayUseKey);
+                        () -> mayUseKey() && target.isUsable());
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
     }
 
+    @Override
+    public void headArrived(TargetResponse from) {
+        if (from.head().isLeaving()) {
+            from.target().leaves();
+        }
+    }
+
     @Override
     public void eventsArrived(TargetResponse from) {
         if (from != response) {
@@ -280,7 +288,9 @@
             return;
         }
         if (!sent) {
-            target.failureHistory().recordNoResponse(System.nanoTime());
+            if (target.isUsable()) {
+                target.failureHistory().recordNoResponse(System.nanoTime());
+            }
             connectFailures++;
             attempts--;
             excludedTargets.add(target);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
@@ -16,6 +16,7 @@
  */
 final class TargetResponse implements HttpResponseListener {
     private final Listener listener;
+    private final TargetRuntime target;
     private final RequestDialect dialect;
     private final boolean isStreaming;
     private final ResponseRelay relay;
@@ -29,11 +30,13 @@
 
     TargetResponse(
             Listener listener,
+            TargetRuntime target,
             RequestDialect dialect,
             boolean isStreaming,
             ResponseRelay relay,
             ResponseMemory responseMemory) {
         this.listener = listener;
+        this.target = target;
         this.dialect = dialect;
         this.isStreaming = isStreaming;
         this.relay = relay;
@@ -41,6 +44,11 @@
         this.memory = responseMemory.newShare();
     }
 
+    /** Returns the target that sends the response. */
+    TargetRuntime target() {
+        return target;
+    }
+
     /** Returns the decoded head; null until it has arrived. */
     TargetResponseHead head() {
         return head;
@@ -50,6 +58,7 @@
     public void started(int status, List<Header> responseHeaders) {
         head = dialect.decodeResponseHead(status, responseHeaders);
         headers = responseHeaders;
+        listener.headArrived(this);
         if (head.isSuccess() && !head.isAuthentic()) {
             fail("the successful response lacks the target's signature");
         }
@@ -155,6 +164,9 @@
 
     /** Receives the progress and the result of a response, on the event loop of the request. */
     interface Listener {
+        /** Called when the head has arrived, also for responses that are ignored otherwise. */
+        void headArrived(TargetResponse from);
+
         /** Called before complete events of a successful stream are relayed. */
         void eventsArrived(TargetResponse from);
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -4,6 +4,7 @@
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
+import java.util.function.Consumer;
 
 /**
  * State that this process keeps for one target: connections, number of open requests, backlog and recent failures.
@@ -13,11 +14,18 @@
     private final HttpClient client;
     private final EngineBacklog backlog = new EngineBacklog();
     private final TargetFailureHistory failureHistory = new TargetFailureHistory();
+    private final Consumer<TargetRuntime> whenLeaving;
     private TargetInstance instance;
     private boolean isUsable = true;
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
+        this(instance, client, leaving -> {});
+    }
+
+    /** Creates the state of a target; the consumer is called when the target says in an answer that it leaves. */
+    TargetRuntime(TargetInstance instance, HttpClient client, Consumer<TargetRuntime> whenLeaving) {
+        this.whenLeaving = whenLeaving;
         this.instance = instance;
         this.client = client;
     }
@@ -31,6 +39,14 @@
         isUsable = mayGetRequests;
     }
 
+    /** Records that the target has said in an answer that it leaves; it gets no further requests. */
+    void leaves() {
+        if (isUsable) {
+            isUsable = false;
+            whenLeaving.accept(this);
+        }
+    }
+
     HttpClient client() {
         return client;
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -103,6 +103,17 @@
         list.storeRegained(lastFailureStart.monotonicNanos(), System.nanoTime());
     }
 
+    /** Keeps new requests away from a target that leaves; a list that shows it as ready does not change that. */
+    private void leaves(TargetRuntime leaving) {
+        TargetInstance instance = leaving.instance();
+        if (runtimesById.get(instance.id()) != leaving) {
+            return;
+        }
+        list.leaves(instance);
+        logChange("target.changed", instance, false, "answer", -1);
+        indexUsable();
+    }
+
     /** Removes the targets that have been missing from the list for longer than their grace period. */
     private void removeExpired() {
         if (list.removeExpired(System.nanoTime())) {
@@ -121,7 +132,7 @@
             }
             if (runtime == null) {
                 runtime = new TargetRuntime(
-                        target, new HttpClient(loops, target.endpoint().socketAddress(), clientOptions));
+                        target, new HttpClient(loops, target.endpoint().socketAddress(), clientOptions), this::leaves);
                 runtimesById.put(target.id(), runtime);
                 logChange("target.added", target, isUsable, cause, version);
             } else if (runtime.isUsable() != isUsable) {
