Leave targets alone that ask for it

What targets would see: further requests within the time, as the field was not read; what callers would see: a Retry-After that is too short.

If all targets pause, callers are told when the first of them takes requests again.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.engine.EngineCandidate;
 import io.endiveshed.coordination.engine.EngineCostModel;
@@ -81,7 +82,10 @@
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
-            return refuse("no usable engine of " + request.service().name(), NO_ENGINE_RETRY_DELAY);
+            ServiceName service = request.service().name();
+            return refuse(
+                    "no usable engine of " + service,
+                    TargetPauses.shortest(targets.usableOf(service), nowNanos).orElse(NO_ENGINE_RETRY_DELAY));
         }
         return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
                 .fold(
@@ -97,7 +101,9 @@
             IdentityHashMap<EngineCandidate, TargetRuntime> runtimes) {
         List<EngineCandidate> candidates = new ArrayList<>();
         for (TargetRuntime target : targets.usableOf(request.service().name())) {
-            if (!excluded.contains(target) && !target.failureHistory().isBackingOff(nowNanos)) {
+            if (!excluded.contains(target)
+                    && !target.failureHistory().isBackingOff(nowNanos)
+                    && target.mayGetRequests(nowNanos)) {
                 double networkDelayMillis = request.service()
                         .delays()
                         .between(domain, target.instance().domain());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -189,7 +189,7 @@
                         data.body(),
                         current,
                         head -> context.dialect().isResponseTo(request.caller().id(), head),
-                        () -> mayUseKey() && target.isUsable());
+                        () -> mayUseKey() && target.mayGetRequests(System.nanoTime()));
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
@@ -200,6 +200,10 @@
         if (from.head().isLeaving()) {
             from.target().leaves();
         }
+        from.head().pause().ifPresent(pause -> {
+            from.target().pause(pause, System.nanoTime());
+            log.targetPaused(from.target(), pause);
+        });
     }
 
     @Override
@@ -288,7 +292,7 @@
             return;
         }
         if (!sent) {
-            if (target.isUsable()) {
+            if (target.mayGetRequests(System.nanoTime())) {
                 target.failureHistory().recordNoResponse(System.nanoTime());
             }
             connectFailures++;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -46,7 +46,7 @@
         if (best == null) {
             return Either.left(Failure.of(ErrorKind.NO_TARGET)
                     .message("no usable target of " + request.service().name())
-                    .retryAfter(NO_TARGET_RETRY_DELAY)
+                    .retryAfter(TargetPauses.shortest(candidates, nowNanos).orElse(NO_TARGET_RETRY_DELAY))
                     .build());
         }
         best.requestStarted();
@@ -64,7 +64,7 @@
         double lowestCost = Double.MAX_VALUE;
         for (TargetRuntime target : candidates) {
             boolean isEligible = includesBackingOff || !target.failureHistory().isBackingOff(nowNanos);
-            if (excluded.contains(target) || !isEligible) {
+            if (excluded.contains(target) || !isEligible || !target.mayGetRequests(nowNanos)) {
                 continue;
             }
             double delayMillis =
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.gateway.CallerRequest.PromptSize;
+import java.time.Duration;
 import java.util.stream.Collectors;
 
 /** Writes the log lines and metrics of one request. */
@@ -30,6 +31,17 @@
                 .write();
     }
 
+    /** Logs and counts a target that wants no requests for some time. */
+    void targetPaused(TargetRuntime target, Duration pause) {
+        context.metrics().count("targets_paused");
+        context.log()
+                .event("target.paused")
+                .with("request", request.caller().id())
+                .with("target", target.instance().id())
+                .with("pause_ms", pause.toMillis())
+                .write();
+    }
+
     /** Logs and counts an attempt that failed or is slow; the event names which. */
     void attemptEvent(Assignment assignment, int attempts, String event, String reason) {
         context.metrics().count(event.replace('.', '_'));
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -4,6 +4,8 @@
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -17,6 +19,8 @@
     private final Consumer<TargetRuntime> whenLeaving;
     private TargetInstance instance;
     private boolean isUsable = true;
+    private long pausedNanos;
+    private long pauseMillis;
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
@@ -64,6 +68,22 @@
         return isUsable;
     }
 
+    /** Records that the target wants no requests for some time; a shorter time does not end a longer one. */
+    void pause(Duration duration, long nowNanos) {
+        pauseMillis = Math.max(remainingPauseMillis(nowNanos), duration.toMillis());
+        pausedNanos = nowNanos;
+    }
+
+    /** Returns for how many milliseconds the target still wants no requests; 0 if it takes them. */
+    long remainingPauseMillis(long nowNanos) {
+        return Math.max(0, pauseMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - pausedNanos));
+    }
+
+    /** Returns whether the target may get new requests at this moment. */
+    boolean mayGetRequests(long nowNanos) {
+        return isUsable && remainingPauseMillis(nowNanos) == 0;
+    }
+
     /** Returns the number of requests of this entry that are assigned to the target. */
     int openRequests() {
         return openRequests;
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -232,7 +232,7 @@
 
         @Override
         public TargetResponseHead decodeResponseHead(int status, List<Header> headers) {
-            return new TargetResponseHead(status, false, true, false, Optional.empty());
+            return new TargetResponseHead(status, false, true, false, Optional.empty(), Optional.empty());
         }
 
         @Override
