--- a/coordination/src/main/java/io/endiveshed/coordination/crash/CrashingParts.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/CrashingParts.java
@@ -70,10 +70,11 @@
     private final Map<PromptPartId, Long> blockedNanos = new BoundedMap<>(MAX_BLOCKS);
     private OptionalLong nextDecisionNanos = OptionalLong.empty();
 
-    /** Records a crash; reports of the same crash by several entries are merged. */
-    public void crashed(EngineCrash report, long nowNanos) {
+    /** Records a crash and returns whether it was unknown; reports of the same crash by several entries are merged. */
+    public boolean crashed(EngineCrash report, long nowNanos) {
         crashes.values().removeIf(crash -> nowNanos - crash.atNanos > WINDOW_MILLIS * NANOS_PER_MILLI);
         EngineStart engine = new EngineStart(report.engine(), report.startedMillis());
+        boolean isNew = !crashes.containsKey(engine);
         Crash crash = crashes.computeIfAbsent(engine, key -> new Crash(nowNanos));
         for (PromptPartId part : report.parts()) {
             if (crash.parts.size() < MAX_PARTS_PER_CRASH) {
@@ -86,6 +87,7 @@
         if (nextDecisionNanos.isEmpty()) {
             nextDecisionNanos = OptionalLong.of(nowNanos + SETTLE_MILLIS * NANOS_PER_MILLI);
         }
+        return isNew;
     }
 
     /**
--- a/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
@@ -68,7 +68,9 @@
     @Test
     void reportsOfOneCrashAreMerged() {
         for (int i = 0; i < 5; i++) {
-            parts.crashed(new EngineCrash(new InstanceId("engine-1"), 1, Set.of(part("bad"))), nowNanos);
+            boolean isNew =
+                    parts.crashed(new EngineCrash(new InstanceId("engine-1"), 1, Set.of(part("bad"))), nowNanos);
+            assertThat(isNew).isEqualTo(i == 0);
         }
         assertThat(decide()).isEmpty();
         assertThat(parts.unexplainedCrashes()).isEqualTo(1);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -70,10 +70,23 @@
         }
         EngineCrash crash =
                 new EngineCrash(engine.instance().id(), engine.instance().startedMillis(), parts);
-        crashingParts.crashed(crash, System.nanoTime());
+        recordCrash("own", crash);
         peers.crashed(crash);
+    }
+
+    /** Records a crash, and logs and counts only its first report; each entry with open requests there sends one. */
+    private void recordCrash(String source, EngineCrash crash) {
+        if (!crashingParts.crashed(crash, System.nanoTime())) {
+            return;
+        }
         metrics.count("engine_crashes");
-        logCrash("own", crash);
+        log.change("engine.crashed")
+                .with("target", crash.engine())
+                .with("started", crash.startedMillis())
+                .with("source", source)
+                .with("prompt_parts", crash.parts().size())
+                .with("unexplained", crashingParts.unexplainedCrashes())
+                .write();
     }
 
     /** Records a complete answer to a prompt. */
@@ -120,8 +133,7 @@
 
     @Override
     public void crashedElsewhere(InstanceId entry, EngineCrash crash) {
-        crashingParts.crashed(crash, System.nanoTime());
-        logCrash(entry.value(), crash);
+        recordCrash(entry.value(), crash);
     }
 
     @Override
@@ -143,16 +155,6 @@
         return crashingParts.blockedMillis(List.of(part), nowNanos).isPresent();
     }
 
-    private void logCrash(String source, EngineCrash crash) {
-        log.change("engine.crashed")
-                .with("target", crash.engine())
-                .with("started", crash.startedMillis())
-                .with("source", source)
-                .with("prompt_parts", crash.parts().size())
-                .with("unexplained", crashingParts.unexplainedCrashes())
-                .write();
-    }
-
     private void logBlocked(PromptPartId part, String source, int unexplained) {
         log.change("prompt-part.blocked")
                 .with("part", part)
