Decide between accused parts as soon as an answer tells them apart

Read in the diff: two parts that were in the same crashes so far were looked at again only after the next crash, although an answer to a prompt with one of them says which is at fault. answerDecidesBetweenEquallyAccusedParts failed without the change.

--- a/coordination/src/main/java/io/endiveshed/coordination/crash/CrashingParts.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/CrashingParts.java
@@ -106,12 +106,16 @@
             answeredNanos.remove(part);
             answeredNanos.put(part, nowNanos);
         }
+        if (!cleared.isEmpty() && nextDecisionNanos.isEmpty()) {
+            // Parts that were accused equally may have been told apart.
+            nextDecisionNanos = OptionalLong.of(nowNanos);
+        }
         return cleared;
     }
 
     /** Records that another entry blocks a part, unless the part was in an answer since. */
     public void blockedElsewhere(BlockedPart blocked, long nowNanos) {
-        long sinceNanos = nowNanos - blocked.ageMillis() * NANOS_PER_MILLI;
+        long sinceNanos = nowNanos - Math.max(0, blocked.ageMillis()) * NANOS_PER_MILLI;
         Long answered = answeredNanos.get(blocked.part());
         boolean isRefuted = answered != null && answered - sinceNanos >= 0;
         if (!isRefuted && blocked.ageMillis() < BLOCK_MILLIS) {
--- a/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
@@ -101,6 +101,17 @@
         assertThat(isBlocked("system", "bad")).isFalse();
     }
 
+    /** Guards against one more crash although an answer has told equally accused parts apart. */
+    @Test
+    void answerDecidesBetweenEquallyAccusedParts() {
+        crash("bad", "document1");
+        crash("bad", "document1");
+        crash("bad", "document1");
+        assertThat(decide()).isEmpty();
+        answer("document1");
+        assertThat(decide()).containsExactly("bad");
+    }
+
     /** Guards against a block that stays although an answer has shown that the part is sound. */
     @Test
     void answerEndsABlockAlsoIfOthersStillReportIt() {
