Name what marks a target as leaving

Read as a newcomer: leaves() looked like a question. The method is markLeaving() in TargetList, Targets and TargetRuntime; no change in behaviour.

--- a/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
@@ -16,7 +16,8 @@
  * <p>The list entries of running targets expire while the store is unavailable and are written again shortly after it is
  * available. A target that is missing from the list then is kept for a grace period; one that is missing at any other
  * time is removed at once. The grace period ends when the platform's bounds hold for the instance again, since the store
- * may have been unavailable for this instance only and the target may really have left. A target that was listed as draining gets no new requests until it has been started again.
+ * may have been unavailable for this instance only and the target may really have left. A target that was listed as
+ * draining, or has said itself that it leaves, gets no new requests until it has been started again.
  */
 public final class TargetList {
     /** Time in nanoseconds after the recovery of the store within which targets write expired list entries again. */
@@ -65,7 +66,7 @@
     }
 
     /** Records that a target has said itself that it leaves, whatever the list says until it is started again. */
-    public void leaves(TargetInstance target) {
+    public void markLeaving(TargetInstance target) {
         drainingStartsMillis.put(target.id(), target.startedMillis());
     }
 
--- a/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
@@ -71,7 +71,7 @@
     @Test
     void targetThatSaysThatItLeavesStaysUnusableUntilItIsStartedAgain() {
         list.put(target("a", false, 1));
-        list.leaves(target("a", false, 1));
+        list.markLeaving(target("a", false, 1));
         list.replaceAll(List.of(target("a", false, 1)), 10 * SECOND);
         assertThat(list.isUsable(target("a", false, 1))).isFalse();
         assertThat(list.isUsable(target("a", false, 2))).isTrue();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -198,7 +198,7 @@
     @Override
     public void headArrived(TargetResponse from) {
         if (from.head().isLeaving()) {
-            from.target().leaves();
+            from.target().markLeaving();
         }
         from.head().pause().ifPresent(pause -> {
             from.target().pause(pause, System.nanoTime());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -44,7 +44,7 @@
     }
 
     /** Records that the target has said in an answer that it leaves; it gets no further requests. */
-    void leaves() {
+    void markLeaving() {
         if (isUsable) {
             isUsable = false;
             whenLeaving.accept(this);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -104,12 +104,12 @@
     }
 
     /** Keeps new requests away from a target that leaves; a list that shows it as ready does not change that. */
-    private void leaves(TargetRuntime leaving) {
+    private void markLeaving(TargetRuntime leaving) {
         TargetInstance instance = leaving.instance();
         if (runtimesById.get(instance.id()) != leaving) {
             return;
         }
-        list.leaves(instance);
+        list.markLeaving(instance);
         logChange("target.changed", instance, false, "answer", -1);
         indexUsable();
     }
@@ -132,7 +132,9 @@
             }
             if (runtime == null) {
                 runtime = new TargetRuntime(
-                        target, new HttpClient(loops, target.endpoint().socketAddress(), clientOptions), this::leaves);
+                        target,
+                        new HttpClient(loops, target.endpoint().socketAddress(), clientOptions),
+                        this::markLeaving);
                 runtimesById.put(target.id(), runtime);
                 logChange("target.added", target, isUsable, cause, version);
             } else if (runtime.isUsable() != isUsable) {
