--- a/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/crash/CrashingPartsTest.java
@@ -68,7 +68,9 @@
     @Test
     void reportsOfOneCrashAreMerged() {
         for (int i = 0; i < 5; i++) {
-            parts.crashed(new EngineCrash(new InstanceId("engine-1"), 1, Set.of(part("bad"))), nowNanos);
+            boolean isNew =
+                    parts.crashed(new EngineCrash(new InstanceId("engine-1"), 1, Set.of(part("bad"))), nowNanos);
+            assertThat(isNew).isEqualTo(i == 0);
         }
         assertThat(decide()).isEmpty();
         assertThat(parts.unexplainedCrashes()).isEqualTo(1);
@@ -99,6 +101,17 @@
         assertThat(isBlocked("system", "bad")).isFalse();
     }
 
+    /** Guards against one more crash although an answer has told equally accused parts apart. */
+    @Test
+    void answerDecidesBetweenEquallyAccusedParts() {
+        crash("bad", "document1");
+        crash("bad", "document1");
+        crash("bad", "document1");
+        assertThat(decide()).isEmpty();
+        answer("document1");
+        assertThat(decide()).containsExactly("bad");
+    }
+
     /** Guards against a block that stays although an answer has shown that the part is sound. */
     @Test
     void answerEndsABlockAlsoIfOthersStillReportIt() {
