Log the limit that a target names in its answers

The log had no line on a limit, so it could not tell whether entries ignore it or keep to it each for itself.

Nothing acts on it yet.

--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -3,6 +3,7 @@
 import io.endiveshed.coordination.service.Endpoint;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Status and decoded header fields of a target's response.
@@ -12,6 +13,7 @@
  * @param isAuthentic whether the response carries the target's signature
  * @param isLeaving whether the target says that it leaves and wants no further requests
  * @param pause time for which the target wants no requests; empty if it does not say so
+ * @param requestsPerSecond requests a second that the target takes from all entries together; empty if it names no limit
  * @param failedDependency address of the engine that the target names as the cause of the failure
  */
 public record TargetResponseHead(
@@ -20,6 +22,7 @@
         boolean isAuthentic,
         boolean isLeaving,
         Optional<Duration> pause,
+        OptionalDouble requestsPerSecond,
         Optional<Endpoint> failedDependency) {
     /** Returns whether the status is in the 2xx range. */
     public boolean isSuccess() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -204,6 +204,9 @@
             from.target().pause(pause, System.nanoTime());
             log.targetPaused(from.target(), pause);
         });
+        if (from.target().setRequestLimit(from.head().requestsPerSecond())) {
+            log.targetLimitChanged(from.target(), from.head());
+        }
     }
 
     @Override
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -5,6 +5,7 @@
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
 import java.time.Duration;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -21,6 +22,7 @@
     private boolean isUsable = true;
     private long pausedNanos;
     private long pauseMillis;
+    private OptionalDouble requestLimit = OptionalDouble.empty();
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
@@ -84,6 +86,13 @@
         return isUsable && remainingPauseMillis(nowNanos) == 0;
     }
 
+    /** Records the requests a second that the target takes, or that it names no limit; returns whether that is new. */
+    boolean setRequestLimit(OptionalDouble perSecond) {
+        boolean isChanged = !requestLimit.equals(perSecond);
+        requestLimit = perSecond;
+        return isChanged;
+    }
+
     /** Returns the number of requests of this entry that are assigned to the target. */
     int openRequests() {
         return openRequests;
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -45,6 +45,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -232,7 +233,8 @@
 
         @Override
         public TargetResponseHead decodeResponseHead(int status, List<Header> headers) {
-            return new TargetResponseHead(status, false, true, false, Optional.empty(), Optional.empty());
+            return new TargetResponseHead(
+                    status, false, true, false, Optional.empty(), OptionalDouble.empty(), Optional.empty());
         }
 
         @Override
