Divide the limits that targets name among the entries

Cause: nothing read the header field. Each entry keeping to the limit for itself would not be enough: five entries would send five times as much, and one request each of 390 entries exceeds most limits at once.

Limits and their ends are told in heartbeats, with their age.

--- a/bench/src/main/java/io/endiveshed/bench/placement/AlternatingLoadSimulation.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/AlternatingLoadSimulation.java
@@ -211,6 +211,7 @@
                         engineDomain != domain,
                         costModel.slots(),
                         new EngineBacklog(),
+                        true,
                         topology.delayMillis(domain, engineDomain));
                 candidates.add(candidate);
                 candidatesById.put(candidate.id(), candidate);
--- a/bench/src/main/java/io/endiveshed/bench/placement/PlacementPolicies.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/PlacementPolicies.java
@@ -72,7 +72,13 @@
         FailureDomain domain = engines.get(0).domain();
         List<EngineCandidate> inOneDomain = engines.stream()
                 .map(engine -> new EngineCandidate(
-                        engine.id(), domain, false, engine.slots(), engine.backlog(), engine.networkDelayMillis()))
+                        engine.id(),
+                        domain,
+                        false,
+                        engine.slots(),
+                        engine.backlog(),
+                        engine.mayHelp(),
+                        engine.networkDelayMillis()))
                 .toList();
         return placer(costModel, request, inOneDomain, longShare, nowNanos);
     }
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineCandidate.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineCandidate.java
@@ -11,6 +11,7 @@
  * @param isInOtherDomain whether the entry is in another failure domain
  * @param slots number of requests that it runs at once
  * @param backlog its unfinished work, as far as this entry knows
+ * @param mayHelp whether it may prefill a part of a prompt for another engine
  * @param networkDelayMillis one-way network delay from this entry to the engine in milliseconds
  */
 public record EngineCandidate(
@@ -19,4 +20,5 @@
         boolean isInOtherDomain,
         int slots,
         EngineBacklog backlog,
+        boolean mayHelp,
         double networkDelayMillis) {}
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -245,7 +245,7 @@
             EngineOption option = options.get(i);
             boolean canHold = holders.size() < parts - 1 && option.freeKvTokens >= partTokens;
             boolean canPrefill = prefillOnly.size() < engines - parts;
-            if (option == primary || !(canHold || canPrefill)) {
+            if (option == primary || !option.candidate.mayHelp() || !(canHold || canPrefill)) {
                 continue;
             }
             (canHold ? holders : prefillOnly).add(option.candidate);
--- /dev/null
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on requests that targets name, and how entries divide them. */
+package io.endiveshed.coordination.limit;
--- a/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/engine/EnginePlacerTest.java
@@ -24,7 +24,13 @@
     EnginePlacerTest() {
         for (int i = 0; i < 8; i++) {
             engines.add(new EngineCandidate(
-                    new InstanceId("engine-" + i), new FailureDomain("north"), false, 11, new EngineBacklog(), 0));
+                    new InstanceId("engine-" + i),
+                    new FailureDomain("north"),
+                    false,
+                    11,
+                    new EngineBacklog(),
+                    true,
+                    0));
         }
     }
 
@@ -137,6 +143,7 @@
                         !domain.equals(own),
                         11,
                         new EngineBacklog(),
+                        true,
                         0));
             }
             EnginePlacement placed =
@@ -161,6 +168,7 @@
                     isOther,
                     11,
                     backlog,
+                    true,
                     4));
         }
         EnginePlacement placed =
--- /dev/null
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
@@ -0,0 +1,246 @@
+package io.endiveshed.coordination.limit;
+
+import io.endiveshed.base.id.InstanceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * One target and many entries in virtual time. Each entry sends whenever it may, so that every permit is used. The
+ * store lists an entry from its start on and never removes one that was killed.
+ */
+final class LimitSimulation {
+    static final long TICK_MILLIS = 10;
+    private static final long HEARTBEAT_MILLIS = 500;
+    private static final long PEER_TIMEOUT_MILLIS = 2_000;
+    private static final long CONTACT_WINDOW_MILLIS = 3_000;
+    private static final long ANSWER_MILLIS = 30;
+    private static final long LIST_DELAY_MILLIS = 100;
+    private static final long WINDOW_MILLIS = 4_000;
+
+    /** Time after an answer with the limit from which requests of its receiver count. */
+    private static final long TOLD_MILLIS = 500;
+
+    private static final InstanceId TARGET = new InstanceId("target-1");
+
+    private final Random random;
+    private final double limit;
+    private final Map<InstanceId, Entry> entries = new LinkedHashMap<>();
+    private final Set<InstanceId> listed = new HashSet<>();
+    private int listVersion;
+    private final Deque<Long> counted = new ArrayDeque<>();
+    private boolean namesLimit;
+    private long nowMillis;
+    private int started;
+    private int most;
+    private int sent;
+
+    LimitSimulation(long seed, double limit, int entryCount) {
+        this.random = new Random(seed);
+        this.limit = limit;
+        addEntries(entryCount);
+    }
+
+    Random random() {
+        return random;
+    }
+
+    /** Sets whether the target names its limit in its answers. */
+    void setNamesLimit(boolean value) {
+        namesLimit = value;
+    }
+
+    void addEntries(int count) {
+        for (int i = 0; i < count; i++) {
+            started++;
+            start(new InstanceId("entry-" + started));
+        }
+    }
+
+    /** Starts an entry, or starts it again without what it knew. */
+    void start(InstanceId id) {
+        if (listed.add(id)) {
+            listVersion++;
+        }
+        entries.put(id, new Entry(id));
+    }
+
+    /** Ends an entry; the store still lists it. */
+    void kill(InstanceId id) {
+        entries.remove(id);
+    }
+
+    /** Ends an entry whose record is removed from the store. */
+    void remove(InstanceId id) {
+        entries.remove(id);
+        listed.remove(id);
+        listVersion++;
+    }
+
+    /** Suspends an entry; it receives nothing meanwhile. */
+    void freeze(InstanceId id, long millis) {
+        entries.get(id).frozenUntilMillis = nowMillis + millis;
+    }
+
+    /** Keeps an entry from the store. */
+    void cutFromStore(InstanceId id, long millis) {
+        entries.get(id).storeCutUntilMillis = nowMillis + millis;
+    }
+
+    /** Puts an entry in a group; entries of different groups do not hear each other. */
+    void setGroup(InstanceId id, int group) {
+        entries.get(id).group = group;
+    }
+
+    List<InstanceId> ids() {
+        return List.copyOf(entries.keySet());
+    }
+
+    /** Returns the most counted requests that the target has received within 4 s. */
+    int most() {
+        return most;
+    }
+
+    /** Returns the number of requests that the target has received. */
+    int sent() {
+        return sent;
+    }
+
+    void run(long millis) {
+        for (long end = nowMillis + millis; nowMillis < end; nowMillis += TICK_MILLIS) {
+            List<Entry> active = new ArrayList<>();
+            for (Entry entry : entries.values()) {
+                if (nowMillis >= entry.frozenUntilMillis) {
+                    active.add(entry);
+                }
+            }
+            for (Entry entry : active) {
+                entry.receiveAnswers();
+                entry.readStore();
+                if ((nowMillis + entry.phaseMillis) % HEARTBEAT_MILLIS == 0) {
+                    entry.heartbeat(active);
+                }
+                entry.send();
+            }
+        }
+    }
+
+    private long nowNanos() {
+        return nowMillis * 1_000_000;
+    }
+
+    private final class Entry {
+        private final InstanceId id;
+        private final TargetLimit targetLimit = new TargetLimit();
+        private final Map<InstanceId, Long> heardMillis = new HashMap<>();
+        private final Deque<Answer> answers = new ArrayDeque<>();
+        private final long phaseMillis = random.nextInt((int) (HEARTBEAT_MILLIS / TICK_MILLIS)) * TICK_MILLIS;
+        private final long startedMillis = nowMillis;
+        private Set<InstanceId> known = Set.of();
+        private int knownVersion;
+        private boolean isOutdated = true;
+        private boolean hadStoreContact;
+        private Set<InstanceId> sharing = Set.of();
+        private long storeReadMillis = Long.MIN_VALUE;
+        private long frozenUntilMillis;
+        private long storeCutUntilMillis;
+        private long toldMillis = Long.MAX_VALUE;
+        private int group;
+
+        private Entry(InstanceId id) {
+            this.id = id;
+        }
+
+        private void readStore() {
+            if (nowMillis >= storeCutUntilMillis && nowMillis - startedMillis >= LIST_DELAY_MILLIS) {
+                storeReadMillis = nowMillis;
+                if (knownVersion != listVersion) {
+                    knownVersion = listVersion;
+                    known = Set.copyOf(listed);
+                    isOutdated = true;
+                }
+            }
+        }
+
+        private void heartbeat(List<Entry> active) {
+            for (Entry other : active) {
+                if (other != this && other.group == group) {
+                    other.isOutdated |= other.heardMillis.put(id, nowMillis) == null;
+                    if (targetLimit.isObserved()) {
+                        other.told(targetLimit.requestsPerSecond(), targetLimit.ageMillis(nowNanos()));
+                    }
+                }
+            }
+            isOutdated |= heardMillis.values().removeIf(heard -> nowMillis - heard > PEER_TIMEOUT_MILLIS);
+            boolean hasStoreContact = storeReadMillis >= 0 && nowMillis - storeReadMillis <= CONTACT_WINDOW_MILLIS;
+            if (isOutdated || hasStoreContact != hadStoreContact) {
+                isOutdated = false;
+                hadStoreContact = hasStoreContact;
+                sharing = known.isEmpty()
+                        ? Set.of()
+                        : SharingEntries.select(id, known, heardMillis.keySet(), hasStoreContact);
+                share();
+            }
+        }
+
+        private void told(OptionalDouble perSecond, long ageMillis) {
+            long atNanos = nowNanos() - ageMillis * 1_000_000;
+            observed(perSecond, atNanos);
+        }
+
+        private void observed(OptionalDouble perSecond, long atNanos) {
+            boolean isChanged = perSecond.isPresent()
+                    ? targetLimit.observeLimit(perSecond.getAsDouble(), atNanos)
+                    : targetLimit.observeNoLimit(atNanos);
+            if (isChanged) {
+                share();
+            }
+        }
+
+        private void share() {
+            targetLimit
+                    .requestsPerSecond()
+                    .ifPresent(perSecond ->
+                            targetLimit.setShare(LimitShare.of(perSecond, TARGET, id, sharing), nowNanos()));
+        }
+
+        private void receiveAnswers() {
+            while (!answers.isEmpty() && answers.peek().arrivesMillis <= nowMillis) {
+                Answer answer = answers.poll();
+                if (answer.namesLimit) {
+                    toldMillis = Math.min(toldMillis, nowMillis);
+                    observed(OptionalDouble.of(limit), nowNanos());
+                } else {
+                    observed(OptionalDouble.empty(), answer.sentMillis * 1_000_000);
+                }
+            }
+        }
+
+        /** Sends a request if it may; an entry that knows no limit sends one every second. */
+        private void send() {
+            boolean isDue = targetLimit.requestsPerSecond().isPresent() || (nowMillis + phaseMillis) % 1_000 == 0;
+            if (!isDue || !targetLimit.tryAcquire(nowNanos())) {
+                return;
+            }
+            sent++;
+            answers.add(new Answer(nowMillis, nowMillis + ANSWER_MILLIS, namesLimit));
+            if (namesLimit && toldMillis != Long.MAX_VALUE && nowMillis - toldMillis >= TOLD_MILLIS) {
+                counted.add(nowMillis);
+                while (counted.peek() <= nowMillis - WINDOW_MILLIS) {
+                    counted.poll();
+                }
+                most = Math.max(most, counted.size());
+            }
+        }
+    }
+
+    private record Answer(long sentMillis, long arrivesMillis, boolean namesLimit) {}
+}
--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -24,6 +24,13 @@
         Optional<Duration> pause,
         OptionalDouble requestsPerSecond,
         Optional<Endpoint> failedDependency) {
+    private static final int MISDIRECTED_REQUEST = 421;
+
+    /** Returns whether another target has taken over the address, so that the response says nothing of this one. */
+    public boolean isFromOtherTarget() {
+        return status == MISDIRECTED_REQUEST;
+    }
+
     /** Returns whether the status is in the 2xx range. */
     public boolean isSuccess() {
         return status / 100 == 2;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -189,7 +189,7 @@
                         data.body(),
                         current,
                         head -> context.dialect().isResponseTo(request.caller().id(), head),
-                        () -> mayUseKey() && target.mayGetRequests(System.nanoTime()));
+                        () -> mayUseKey() && target.tryAcquireRequest(System.nanoTime()));
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
@@ -204,9 +204,7 @@
             from.target().pause(pause, System.nanoTime());
             log.targetPaused(from.target(), pause);
         });
-        if (from.target().setRequestLimit(from.head().requestsPerSecond())) {
-            log.targetLimitChanged(from.target(), from.head());
-        }
+        context.limits().answered(from.target(), request.caller().id(), from.head(), from.sentNanos());
     }
 
     @Override
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -6,6 +6,7 @@
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.StoreIsolation;
+import io.endiveshed.coordination.limit.SharingEntries;
 import io.endiveshed.coordination.readiness.Readiness;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.retry.RetryShare;
@@ -28,6 +29,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -65,6 +67,7 @@
     private final Targets targets;
     private final EngineBacklogTracker backlogs;
     private final CrashMonitor crashes;
+    private final RequestLimits limits;
     private final PeerExchange peers;
     private final AccessPolicy access;
     private final StartupRequestQueue startupQueue = new StartupRequestQueue(this::canServe);
@@ -101,13 +104,15 @@
         this.backlogs = new EngineBacklogTracker(targets);
         GatewayMetrics metrics = new GatewayMetrics(registry);
         this.crashes = new CrashMonitor(ports.engineMemory(), loop, metrics, log);
+        this.limits = new RequestLimits(self.instance(), targets, metrics, log);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
                 settings.peers(),
                 loops,
                 log,
                 backlogs,
-                crashes);
+                crashes,
+                limits);
         crashes.shareWith(peers);
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
@@ -137,6 +142,7 @@
                                 log),
                         new PlainTargetPicker(targets, settings.domain()),
                         targets::findAt,
+                        limits,
                         this::budget,
                         crashes,
                         new ResponseMemory(settings.responses()),
@@ -211,7 +217,13 @@
     }
 
     private void heartbeat() {
-        peers.heartbeat(catalogFollower.ageMillis(), crashes.blockedParts());
+        long stateAgeMillis = catalogFollower.ageMillis();
+        peers.heartbeat(stateAgeMillis, crashes.blockedParts(), limits.notices());
+        boolean hasStoreContact =
+                stateAgeMillis <= settings.bounds().contactWindow().toMillis();
+        limits.setEntries(peers.listedEntries()
+                .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
+                .orElse(Set.of()));
         updateIsolation();
         backlogs.removeOverdue();
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -25,6 +25,7 @@
  * @param enginePicker picks the targets of model services
  * @param plainPicker picks the targets of plain services
  * @param targetAt finds the target that listens on an address
+ * @param limits limits that targets name
  * @param budgets retry budget of each service
  * @param crashes engines that crash, and the prompts at fault
  * @param responseMemory memory of incomplete responses
@@ -41,6 +42,7 @@
         TargetPicker enginePicker,
         TargetPicker plainPicker,
         Function<Endpoint, Optional<TargetRuntime>> targetAt,
+        RequestLimits limits,
         Function<ServiceName, AttemptBudget> budgets,
         CrashMonitor crashes,
         ResponseMemory responseMemory,
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -4,12 +4,14 @@
 import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.coordination.crash.BlockedPart;
 import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.limit.LimitNotice;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
@@ -34,10 +36,24 @@
     /** Maximum number of prompt parts in one datagram, which keeps it within one packet of a network. */
     private static final int MAX_PARTS = 64;
 
+    /** Maximum number of limits in one heartbeat, for the same reason. */
+    private static final int MAX_LIMITS = 16;
+
+    /** Stands for a target that no longer names a limit. */
+    private static final double NO_LIMIT = -1;
+
     private PeerCodec() {}
 
-    /** Encodes a heartbeat with the age of the sender's desired state in milliseconds and the parts that it blocks. */
-    static byte[] heartbeat(PeerIncarnation sender, long stateAgeMillis, List<BlockedPart> blockedParts) {
+    /**
+     * Encodes a heartbeat.
+     *
+     * @param sender sender of the heartbeat
+     * @param stateAgeMillis age of its desired state in milliseconds
+     * @param blockedParts parts of prompts that it blocks
+     * @param limits limits of targets that it knows, the most important first; those beyond the maximum are left out
+     */
+    static byte[] heartbeat(
+            PeerIncarnation sender, long stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {
         return pack(sender, HEARTBEAT, packer -> {
             packer.packLong(stateAgeMillis);
             packer.packArrayHeader(Math.min(MAX_PARTS, blockedParts.size()));
@@ -45,6 +61,13 @@
                 packer.packString(blocked.part().value());
                 packer.packLong(blocked.ageMillis());
             }
+            packer.packArrayHeader(Math.min(MAX_LIMITS, limits.size()));
+            for (LimitNotice limit : limits.subList(0, Math.min(MAX_LIMITS, limits.size()))) {
+                packer.packString(limit.target().value());
+                packer.packLong(limit.startedMillis());
+                packer.packDouble(limit.requestsPerSecond().orElse(NO_LIMIT));
+                packer.packLong(limit.ageMillis());
+            }
         });
     }
 
@@ -122,7 +145,7 @@
         }
     }
 
-    /** Reads a heartbeat; those of earlier builds have no age, or no blocked parts. */
+    /** Reads a heartbeat; those of earlier builds have no age, no blocked parts, or no limits. */
     private static Heartbeat readHeartbeat(MessageUnpacker unpacker) throws IOException {
         OptionalLong stateAge = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
         List<BlockedPart> blocked = new ArrayList<>();
@@ -130,7 +153,26 @@
         for (int i = 0; i < count; i++) {
             blocked.add(new BlockedPart(new PromptPartId(unpacker.unpackString()), unpacker.unpackLong()));
         }
-        return new Heartbeat(stateAge, blocked);
+        return new Heartbeat(stateAge, blocked, unpacker.hasNext() ? readLimits(unpacker) : List.of());
+    }
+
+    private static List<LimitNotice> readLimits(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        if (count > MAX_LIMITS) {
+            throw new IllegalArgumentException("a heartbeat names at most " + MAX_LIMITS + " limits, not " + count);
+        }
+        List<LimitNotice> limits = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            InstanceId target = new InstanceId(unpacker.unpackString());
+            long startedMillis = unpacker.unpackLong();
+            double perSecond = unpacker.unpackDouble();
+            limits.add(new LimitNotice(
+                    target,
+                    startedMillis,
+                    perSecond >= 0 ? OptionalDouble.of(perSecond) : OptionalDouble.empty(),
+                    unpacker.unpackLong()));
+        }
+        return limits;
     }
 
     private static EngineCrash readCrash(MessageUnpacker unpacker) throws IOException {
@@ -210,8 +252,9 @@
      *
      * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
      * @param blockedParts parts of prompts that the sender blocks
+     * @param limits what the sender knows of limits that targets name
      */
-    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedPart> blockedParts) {}
+    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {}
 
     /**
      * End of a prompt.
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -6,6 +6,7 @@
 import io.endiveshed.coordination.crash.BlockedPart;
 import io.endiveshed.coordination.crash.EngineCrash;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.limit.LimitNotice;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.internal.PeerCodec.PeerDatagram;
@@ -27,6 +28,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -49,11 +51,13 @@
     private final EventLog log;
     private final PlacementListener listener;
     private final CrashListener crashListener;
+    private final LimitListener limitListener;
     private final Map<InstanceId, InetSocketAddress> listedAddresses = new HashMap<>();
     private final Map<InstanceId, PeerState> activePeers = new HashMap<>();
     private final OwnPlacements ownPlacements = new OwnPlacements();
     private Channel channel;
     private int lastOwner;
+    private boolean isListed;
 
     PeerExchange(
             PeerIncarnation self,
@@ -61,13 +65,15 @@
             EventLoopGroup loops,
             EventLog log,
             PlacementListener listener,
-            CrashListener crashListener) {
+            CrashListener crashListener,
+            LimitListener limitListener) {
         this.self = self;
         this.address = address;
         this.loops = loops;
         this.log = log;
         this.listener = listener;
         this.crashListener = crashListener;
+        this.limitListener = limitListener;
     }
 
     void start() {
@@ -94,6 +100,16 @@
         return listedAddresses.size() + 1;
     }
 
+    /** Returns the other entries that the platform lists; empty before it has listed any. */
+    Optional<Set<InstanceId>> listedEntries() {
+        return isListed ? Optional.of(Set.copyOf(listedAddresses.keySet())) : Optional.empty();
+    }
+
+    /** Returns the other entries that have sent datagrams recently. */
+    Set<InstanceId> heardEntries() {
+        return Set.copyOf(activePeers.keySet());
+    }
+
     /**
      * Returns the ages of the desired states that the active peers have told, in milliseconds, counting the time since
      * then.
@@ -111,11 +127,11 @@
     }
 
     /**
-     * Sends a heartbeat with the age of the own desired state and the blocked parts to the peers, and drops the peers
-     * that have sent none for too long.
+     * Sends a heartbeat with the age of the own desired state, the blocked parts and the limits of targets to the peers,
+     * and drops the peers that have sent none for too long.
      */
-    void heartbeat(long stateAgeMillis, List<BlockedPart> blockedParts) {
-        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blockedParts));
+    void heartbeat(long stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {
+        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blockedParts, limits));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -154,6 +170,7 @@
     @Override
     public void listed(FeedBatch<EntryRecord> batch) {
         listedAddresses.clear();
+        isListed = true;
         changed(batch);
     }
 
@@ -202,7 +219,7 @@
         }
         peer.lastReceivedNanos = System.nanoTime();
         if (datagram.heartbeat().isPresent()) {
-            receiveHeartbeat(peer, datagram.heartbeat().get());
+            receiveHeartbeat(sender.instance(), peer, datagram.heartbeat().get());
         }
         int owner = peer.owner;
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
@@ -213,12 +230,13 @@
         }
     }
 
-    private void receiveHeartbeat(PeerState peer, PeerCodec.Heartbeat heartbeat) {
+    private void receiveHeartbeat(InstanceId entry, PeerState peer, PeerCodec.Heartbeat heartbeat) {
         if (heartbeat.stateAgeMillis().isPresent()) {
             peer.stateAgeMillis = heartbeat.stateAgeMillis();
             peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
         }
         heartbeat.blockedParts().forEach(crashListener::blockedElsewhere);
+        heartbeat.limits().forEach(notice -> limitListener.limitObservedElsewhere(entry, notice));
     }
 
     /** Sends the prompts that run to each newly active peer, once the platform lists its address. */
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
@@ -0,0 +1,135 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.limit.LimitNotice;
+import io.endiveshed.coordination.limit.LimitShare;
+import io.endiveshed.coordination.limit.TargetLimit;
+import io.endiveshed.gateway.TargetResponseHead;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps the limits that targets name up to date, from the answers to this entry and from the notices of other entries,
+ * and this entry's share of each. Confined to one event loop.
+ */
+final class RequestLimits implements LimitListener {
+    /** Time in milliseconds for which the end of a limit is told to the other entries, about 20 heartbeats. */
+    private static final long END_NOTICE_MILLIS = 10_000;
+
+    private final InstanceId self;
+    private final Targets targets;
+    private final GatewayMetrics metrics;
+    private final EventLog log;
+    private Set<InstanceId> entries = Set.of();
+
+    RequestLimits(InstanceId self, Targets targets, GatewayMetrics metrics, EventLog log) {
+        this.self = self;
+        this.targets = targets;
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    /**
+     * Records what the head of an answer says of a limit. Only a success shows that there is none any more.
+     *
+     * @param target target that answered
+     * @param requestId id of the request
+     * @param head head of the answer
+     * @param sentNanos time before the request was written
+     */
+    void answered(TargetRuntime target, String requestId, TargetResponseHead head, long sentNanos) {
+        if (head.isFromOtherTarget()) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        if (head.requestsPerSecond().isPresent()) {
+            observe(target, head.requestsPerSecond(), nowNanos, "answer to " + requestId);
+        } else if (head.isSuccess()) {
+            observe(target, OptionalDouble.empty(), sentNanos, "answer to " + requestId);
+        }
+    }
+
+    @Override
+    public void limitObservedElsewhere(InstanceId entry, LimitNotice notice) {
+        TargetRuntime target = targets.find(notice.target());
+        if (target != null && target.instance().startedMillis() == notice.startedMillis()) {
+            long atNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(notice.ageMillis());
+            observe(target, notice.requestsPerSecond(), atNanos, entry.value());
+        }
+    }
+
+    /** Sets the entries among which limits are divided; see {@code SharingEntries}. */
+    void setEntries(Set<InstanceId> sharingEntries) {
+        if (entries.equals(sharingEntries)) {
+            return;
+        }
+        entries = Set.copyOf(sharingEntries);
+        int limited = 0;
+        for (TargetRuntime target : targets.all()) {
+            if (target.limit().requestsPerSecond().isPresent()) {
+                limited++;
+                share(target);
+            }
+        }
+        log.change("limits.shared")
+                .with("entries", entries.size())
+                .with("targets", limited)
+                .write();
+    }
+
+    /** Returns what is known of limits, the newest first, to be told to the other entries. */
+    List<LimitNotice> notices() {
+        long nowNanos = System.nanoTime();
+        List<LimitNotice> notices = new ArrayList<>();
+        for (TargetRuntime target : targets.all()) {
+            TargetLimit limit = target.limit();
+            long ageMillis = limit.ageMillis(nowNanos);
+            if (limit.requestsPerSecond().isPresent() || (limit.isObserved() && ageMillis <= END_NOTICE_MILLIS)) {
+                notices.add(new LimitNotice(
+                        target.instance().id(),
+                        target.instance().startedMillis(),
+                        limit.requestsPerSecond(),
+                        ageMillis));
+            }
+        }
+        notices.sort(Comparator.comparingLong(LimitNotice::ageMillis));
+        return notices;
+    }
+
+    private void observe(TargetRuntime target, OptionalDouble perSecond, long atNanos, String source) {
+        TargetLimit limit = target.limit();
+        boolean isChanged = perSecond.isPresent()
+                ? limit.observeLimit(perSecond.getAsDouble(), atNanos)
+                : limit.observeNoLimit(atNanos);
+        if (!isChanged) {
+            return;
+        }
+        share(target);
+        metrics.count("target_limits_changed");
+        log.change("target.limit")
+                .with("target", target.instance().id())
+                .with("per_second", perSecond.isPresent() ? perSecond.getAsDouble() : "none")
+                .with("source", source)
+                .with("age_ms", limit.ageMillis(System.nanoTime()))
+                .with("own_share", limit.share().requestsPerSecond())
+                .with("entries", entries.size())
+                .write();
+    }
+
+    private void share(TargetRuntime target) {
+        TargetLimit limit = target.limit();
+        LimitShare share = limit.requestsPerSecond().isPresent()
+                ? LimitShare.of(
+                        limit.requestsPerSecond().getAsDouble(),
+                        target.instance().id(),
+                        self,
+                        entries)
+                : LimitShare.NONE;
+        limit.setShare(share, System.nanoTime());
+    }
+}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -2,7 +2,6 @@
 
 import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.gateway.CallerRequest.PromptSize;
-import io.endiveshed.gateway.TargetResponseHead;
 import java.time.Duration;
 import java.util.stream.Collectors;
 
@@ -43,22 +42,6 @@
                 .write();
     }
 
-    /** Logs and counts a limit that a target names, changes or no longer names. */
-    void targetLimitChanged(TargetRuntime target, TargetResponseHead head) {
-        context.metrics().count("target_limits_changed");
-        context.log()
-                .event("target.limit")
-                .with("request", request.caller().id())
-                .with("target", target.instance().id())
-                .with("status", head.status())
-                .with(
-                        "per_second",
-                        head.requestsPerSecond().isPresent()
-                                ? head.requestsPerSecond().getAsDouble()
-                                : "none")
-                .write();
-    }
-
     /** Logs and counts an attempt that failed or is slow; the event names which. */
     void attemptEvent(Assignment assignment, int attempts, String event, String reason) {
         context.metrics().count(event.replace('.', '_'));
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetResponse.java
@@ -24,6 +24,7 @@
     private final ResponseMemory.Share memory;
     private final SseEventSplitter events = new SseEventSplitter();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+    private final long sentNanos = System.nanoTime();
     private TargetResponseHead head;
     private List<Header> headers = List.of();
     private boolean isOver;
@@ -49,6 +50,11 @@
         return target;
     }
 
+    /** Returns a time in nanoseconds at which the request had not been written yet. */
+    long sentNanos() {
+        return sentNanos;
+    }
+
     /** Returns the decoded head; null until it has arrived. */
     TargetResponseHead head() {
         return head;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -1,11 +1,11 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.coordination.engine.EngineBacklog;
+import io.endiveshed.coordination.limit.TargetLimit;
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
 import java.time.Duration;
-import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -17,20 +17,21 @@
     private final HttpClient client;
     private final EngineBacklog backlog = new EngineBacklog();
     private final TargetFailureHistory failureHistory = new TargetFailureHistory();
+    private final TargetLimit limit;
     private final Consumer<TargetRuntime> whenLeaving;
     private TargetInstance instance;
     private boolean isUsable = true;
     private long pausedNanos;
     private long pauseMillis;
-    private OptionalDouble requestLimit = OptionalDouble.empty();
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
-        this(instance, client, leaving -> {});
+        this(instance, client, new TargetLimit(), leaving -> {});
     }
 
     /** Creates the state of a target; the consumer is called when the target says in an answer that it leaves. */
-    TargetRuntime(TargetInstance instance, HttpClient client, Consumer<TargetRuntime> whenLeaving) {
+    TargetRuntime(TargetInstance instance, HttpClient client, TargetLimit limit, Consumer<TargetRuntime> whenLeaving) {
+        this.limit = limit;
         this.whenLeaving = whenLeaving;
         this.instance = instance;
         this.client = client;
@@ -76,21 +77,28 @@
         pausedNanos = nowNanos;
     }
 
-    /** Returns for how many milliseconds the target still wants no requests; 0 if it takes them. */
-    long remainingPauseMillis(long nowNanos) {
+    private long remainingPauseMillis(long nowNanos) {
         return Math.max(0, pauseMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - pausedNanos));
     }
 
-    /** Returns whether the target may get new requests at this moment. */
+    /** Returns the limit that the target names, and this entry's share of it. */
+    TargetLimit limit() {
+        return limit;
+    }
+
+    /** Returns after how many milliseconds the target takes a request of this entry; 0 if it takes one now. */
+    long millisUntilRequest(long nowNanos) {
+        return Math.max(remainingPauseMillis(nowNanos), limit.waitMillis(nowNanos));
+    }
+
+    /** Returns whether the target may get a new request at this moment. */
     boolean mayGetRequests(long nowNanos) {
-        return isUsable && remainingPauseMillis(nowNanos) == 0;
+        return isUsable && millisUntilRequest(nowNanos) == 0;
     }
 
-    /** Records the requests a second that the target takes, or that it names no limit; returns whether that is new. */
-    boolean setRequestLimit(OptionalDouble perSecond) {
-        boolean isChanged = !requestLimit.equals(perSecond);
-        requestLimit = perSecond;
-        return isChanged;
+    /** Returns whether a request may be written to the target now; if so, it counts against the target's limit. */
+    boolean tryAcquireRequest(long nowNanos) {
+        return isUsable && remainingPauseMillis(nowNanos) == 0 && limit.tryAcquire(nowNanos);
     }
 
     /** Returns the number of requests of this entry that are assigned to the target. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.limit.TargetLimit;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.coordination.service.TargetList;
@@ -17,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,12 +26,24 @@
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
+    /** Maximum number of missing targets whose limits are kept; about twice the targets of a large fleet. */
+    private static final int MAX_LIMITS_OF_MISSING = 512;
+
     private final EventLoopGroup loops;
     private final EventLoop loop;
     private final HttpClientOptions clientOptions;
     private final EventLog log;
     private final TargetList list;
     private final Map<InstanceId, TargetRuntime> runtimesById = new HashMap<>();
+
+    /** Limits of targets that are missing from the list; a target may be listed again in the same incarnation. */
+    private final Map<TargetIncarnation, TargetLimit> limitsOfMissing = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<TargetIncarnation, TargetLimit> eldest) {
+            return size() > MAX_LIMITS_OF_MISSING;
+        }
+    };
+
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
     /** Creates an empty set of targets that is updated on the given event loop, one of the loops of the connections. */
@@ -134,6 +148,7 @@
                 runtime = new TargetRuntime(
                         target,
                         new HttpClient(loops, target.endpoint().socketAddress(), clientOptions),
+                        limitOf(target),
                         this::markLeaving);
                 runtimesById.put(target.id(), runtime);
                 logChange("target.added", target, isUsable, cause, version);
@@ -156,10 +171,18 @@
 
     private void remove(TargetRuntime runtime) {
         runtimesById.remove(runtime.instance().id());
+        if (runtime.limit().requestsPerSecond().isPresent()) {
+            limitsOfMissing.put(TargetIncarnation.of(runtime.instance()), runtime.limit());
+        }
         runtime.update(runtime.instance(), false);
         runtime.client().stop();
     }
 
+    private TargetLimit limitOf(TargetInstance target) {
+        TargetLimit known = limitsOfMissing.remove(TargetIncarnation.of(target));
+        return known == null ? new TargetLimit() : known;
+    }
+
     private void indexUsable() {
         Map<ServiceName, List<TargetRuntime>> index = new HashMap<>();
         for (TargetRuntime runtime : runtimesById.values()) {
@@ -181,6 +204,13 @@
                 || !before.service().equals(now.service());
     }
 
+    /** One process lifetime of a target at one address. */
+    private record TargetIncarnation(InstanceId id, long startedMillis, Endpoint endpoint) {
+        private static TargetIncarnation of(TargetInstance target) {
+            return new TargetIncarnation(target.id(), target.startedMillis(), target.endpoint());
+        }
+    }
+
     private void logChange(String event, TargetInstance target, boolean isUsable, String cause, long version) {
         log.change(event)
                 .with("target", target.id())
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -27,6 +27,7 @@
 import io.endiveshed.gateway.RequestDialect;
 import io.endiveshed.gateway.TargetResponseHead;
 import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpRequestData;
 import io.endiveshed.net.http.ResponseSink;
 import io.endiveshed.protocol.Header;
@@ -111,6 +112,10 @@
         assertThat(assignments.get(0).isReleased).isTrue();
     }
 
+    private Targets targets(EventLog log) {
+        return new Targets(loops, channel.eventLoop(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log);
+    }
+
     private void start() {
         GatewayMetrics metrics = new GatewayMetrics(new MetricRegistry());
         EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
@@ -124,6 +129,7 @@
                 (request, waitingSince, excluded, now) -> pick(),
                 (request, waitingSince, excluded, now) -> pick(),
                 endpoint -> Optional.empty(),
+                new RequestLimits(new InstanceId("entry-1"), targets(log), metrics, log),
                 service -> budget,
                 new CrashMonitor(new RespondingEngines(), channel.eventLoop(), metrics, log),
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -6,9 +6,11 @@
 import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.coordination.crash.BlockedPart;
 import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.limit.LimitNotice;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -18,6 +20,9 @@
     private static final PeerCodec.PeerIncarnation SENDER =
             new PeerCodec.PeerIncarnation(new InstanceId("entry-1"), 42);
     private static final BlockedPart BLOCKED = new BlockedPart(new PromptPartId("5c1e07a2"), 800);
+    private static final LimitNotice LIMIT =
+            new LimitNotice(new InstanceId("a"), 1_779_248_684_829L, OptionalDouble.of(2.5), 300);
+    private static final LimitNotice NO_LIMIT = new LimitNotice(new InstanceId("b"), 0, OptionalDouble.empty(), 9_000);
     private static final EngineCrash CRASH = new EngineCrash(
             new InstanceId("a"),
             1_779_248_684_829L,
@@ -46,11 +51,13 @@
         PeerCodec.PeerDatagram ended =
                 PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
         assertThat(ended.ended()).isEqualTo(Optional.of(new PeerCodec.End(7, 12.5)));
-        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED)))
+        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(
+                        PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT)))
                 .orElseThrow();
         assertThat(heartbeat.started()).isEqualTo(Optional.empty());
         assertThat(heartbeat.heartbeat())
-                .isEqualTo(Optional.of(new PeerCodec.Heartbeat(OptionalLong.of(1_200), List.of(BLOCKED))));
+                .isEqualTo(Optional.of(
+                        new PeerCodec.Heartbeat(OptionalLong.of(1_200), List.of(BLOCKED), List.of(LIMIT, NO_LIMIT))));
         assertThat(started.heartbeat()).isEqualTo(Optional.empty());
     }
 
@@ -83,7 +90,7 @@
         for (byte[] whole : List.of(
                 PeerCodec.started(SENDER, NOTICE),
                 PeerCodec.crashed(SENDER, CRASH),
-                PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED)))) {
+                PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT)))) {
             for (int i = 0; i < 20_000; i++) {
                 byte[] corrupt = whole.clone();
                 corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -8,6 +8,7 @@
 import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.limit.LimitNotice;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
@@ -26,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
@@ -59,7 +61,7 @@
         second.start();
         second.receiveListOf(first);
         onLoop(() -> {
-            second.exchange.heartbeat(0, List.of());
+            second.exchange.heartbeat(0, List.of(), List.of());
             return null;
         });
         await(() -> !second.receivedNumbers.isEmpty());
@@ -68,6 +70,27 @@
         second.exchange.stop();
     }
 
+    /** Guards against an entry that has had no answer of a target yet and sends more than the target takes. */
+    @Test
+    void limitsOfTargetsAreToldToOtherEntries() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        second.start();
+        first.receiveListOf(second);
+        LimitNotice limit = new LimitNotice(new InstanceId("engine-1"), 7, OptionalDouble.of(2), 100);
+        onLoop(() -> {
+            first.exchange.heartbeat(0, List.of(), List.of(limit));
+            return null;
+        });
+        await(() -> !second.receivedLimits.isEmpty());
+        assertThat(second.receivedLimits).containsExactly(limit);
+        assertThat(onLoop(second.exchange::heardEntries)).containsExactly(new InstanceId("entry-1"));
+        assertThat(onLoop(second.exchange::listedEntries).isPresent()).isFalse();
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
     /** Guards against a peer without a desired state that counts as one with a confirmed state. */
     @Test
     void agesOfPeersOnlyGrow() throws Exception {
@@ -77,7 +100,7 @@
         second.start();
         second.receiveListOf(first);
         onLoop(() -> {
-            second.exchange.heartbeat(Long.MAX_VALUE, List.of());
+            second.exchange.heartbeat(Long.MAX_VALUE, List.of(), List.of());
             return null;
         });
         await(() -> !first.exchange.stateAgesMillis().isEmpty());
@@ -125,7 +148,7 @@
         second.start();
         first.receiveListOf(second);
         onLoop(() -> {
-            first.exchange.heartbeat(0, first.crashes.blockedParts());
+            first.exchange.heartbeat(0, first.crashes.blockedParts(), List.of());
             return null;
         });
         await(() -> second.crashes.refusal(parts).isPresent());
@@ -154,6 +177,7 @@
                 new CrashMonitor(engines, loops.next(), new GatewayMetrics(new MetricRegistry()), log);
         private int lastEngine;
         private final List<Long> receivedNumbers = new ArrayList<>();
+        private final List<LimitNotice> receivedLimits = new ArrayList<>();
 
         Entry(String name, long startedMillis) throws SocketException {
             InetSocketAddress address = freeAddress();
@@ -165,7 +189,8 @@
                     loops,
                     log,
                     this,
-                    crashes);
+                    crashes,
+                    (entry, notice) -> receivedLimits.add(notice));
             crashes.shareWith(exchange);
         }
 
--- /dev/null
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -0,0 +1,117 @@
+package io.endiveshed.gateway.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.ServiceName;
+import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.limit.LimitNotice;
+import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.coordination.service.TargetInstance;
+import io.endiveshed.gateway.TargetResponseHead;
+import io.endiveshed.net.http.HttpClientOptions;
+import io.endiveshed.ports.platform.FeedBatch;
+import io.endiveshed.ports.platform.FeedEvent;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class RequestLimitsTest {
+    private static final InstanceId SELF = new InstanceId("entry-1");
+    private static final InstanceId TARGET = new InstanceId("target-1");
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
+    private final Targets targets =
+            new Targets(loops, loops.next(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log);
+    private final RequestLimits limits =
+            new RequestLimits(SELF, targets, new GatewayMetrics(new MetricRegistry()), log);
+
+    @AfterEach
+    void stopLoops() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** Guards against a limit that is forgotten because the target was missing from the list for a while. */
+    @Test
+    void limitIsKeptWhileItsTargetIsMissingFromTheList() {
+        list(5);
+        limits.setEntries(Set.of(SELF));
+        limits.answered(targets.find(TARGET), "request-1", head(200, OptionalDouble.of(1)), System.nanoTime());
+        targets.changed(new FeedBatch<>(List.of(new FeedEvent<>(TARGET.value(), 2, Optional.empty())), 2));
+        assertThat(targets.find(TARGET)).isNull();
+
+        list(5);
+        assertThat(targets.find(TARGET).mayGetRequests(System.nanoTime())).isFalse();
+    }
+
+    /** Guards against a limit that a target keeps although it was started again. */
+    @Test
+    void newIncarnationOfATargetHasNoLimit() {
+        list(5);
+        limits.answered(targets.find(TARGET), "request-1", head(200, OptionalDouble.of(1)), System.nanoTime());
+        list(6);
+        assertThat(targets.find(TARGET).mayGetRequests(System.nanoTime())).isTrue();
+        limits.limitObservedElsewhere(new InstanceId("entry-2"), new LimitNotice(TARGET, 5, OptionalDouble.of(1), 0));
+        assertThat(targets.find(TARGET).mayGetRequests(System.nanoTime())).isTrue();
+    }
+
+    /** Guards against limits that end with an answer that says nothing of the target's state. */
+    @Test
+    void onlyASuccessShowsThatThereIsNoLimitAnyMore() {
+        list(5);
+        TargetRuntime target = targets.find(TARGET);
+        limits.answered(target, "request-1", head(421, OptionalDouble.of(1)), System.nanoTime());
+        assertThat(target.limit().requestsPerSecond().isPresent()).isFalse();
+        limits.answered(target, "request-2", head(503, OptionalDouble.of(1)), System.nanoTime());
+        limits.answered(target, "request-3", head(500, OptionalDouble.empty()), System.nanoTime());
+        assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
+        limits.answered(target, "request-4", head(200, OptionalDouble.empty()), System.nanoTime());
+        assertThat(target.limit().requestsPerSecond().isPresent()).isFalse();
+    }
+
+    /** Guards against an entry that keeps to a limit that has ended, as it sends nothing and so learns nothing. */
+    @Test
+    void endOfALimitIsLearntFromOtherEntries() {
+        list(5);
+        TargetRuntime target = targets.find(TARGET);
+        limits.limitObservedElsewhere(
+                new InstanceId("entry-2"), new LimitNotice(TARGET, 5, OptionalDouble.of(1), 2_000));
+        assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
+        limits.limitObservedElsewhere(
+                new InstanceId("entry-3"), new LimitNotice(TARGET, 5, OptionalDouble.empty(), 4_000));
+        assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
+        limits.limitObservedElsewhere(new InstanceId("entry-2"), new LimitNotice(TARGET, 5, OptionalDouble.empty(), 0));
+        assertThat(target.limit().requestsPerSecond().isPresent()).isFalse();
+        assertThat(limits.notices()).hasSize(1);
+    }
+
+    private void list(long startedMillis) {
+        TargetInstance instance = new TargetInstance(
+                TARGET,
+                new ServiceName("app"),
+                new Endpoint("127.0.0.1", 9),
+                new FailureDomain("north"),
+                8,
+                false,
+                startedMillis);
+        targets.listed(new FeedBatch<>(List.of(new FeedEvent<>(TARGET.value(), 1, Optional.of(instance))), 1));
+    }
+
+    private static TargetResponseHead head(int status, OptionalDouble requestsPerSecond) {
+        return new TargetResponseHead(
+                status, false, true, false, Optional.empty(), requestsPerSecond, Optional.empty());
+    }
+}
