Carry the era of the store in its answers and log a restore

A store that comes back from an older copy gives revisions out again. Nothing in the logs told such a return from an outage, nor a desired state that was older than the one in force and therefore ignored.

The era travels with lists and watches; store.restored and state.ignored show both. Pages of a list from two eras are no list. Nothing else acts on it yet.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
@@ -35,6 +35,13 @@
     private void activateIfNewer(ServiceCatalog candidate, long storeVersion) {
         ServiceCatalog previous = catalog.read();
         if (candidate.version() <= previous.version()) {
+            if (candidate.version() < previous.version()) {
+                log.change("state.ignored")
+                        .with("version", candidate.version())
+                        .with("newer", previous.version())
+                        .with("store_version", storeVersion)
+                        .write();
+            }
             return;
         }
         catalog.update(current -> candidate);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -5,6 +5,7 @@
 import io.endiveshed.coordination.freshness.Freshness;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.ObjectFeed;
+import io.endiveshed.ports.platform.StoreEra;
 import io.endiveshed.ports.platform.StoreError;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
@@ -47,6 +48,7 @@
     private final EventLog log;
     private final Listener<T> listener;
     private long version = -1;
+    private StoreEra era;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private Freshness freshness = Freshness.NEVER;
     private ClockReading lastFailureStart;
@@ -108,6 +110,17 @@
         }
         FeedBatch<T> batch = result.get();
         boolean isWatch = version >= 0;
+        if (era != null && !era.equals(batch.era())) {
+            log.change("store.restored")
+                    .with("feed", name)
+                    .with("era", batch.era())
+                    .with("era_before", era)
+                    .with("version", batch.upTo())
+                    .with("version_before", version)
+                    .with("age_ms", ageMillis())
+                    .write();
+        }
+        era = batch.era();
         version = Math.max(version, batch.upTo());
         retryMillis = FIRST_RETRY_MILLIS;
         if (isStoreLost) {
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.tinylog.Logger;
@@ -38,11 +39,12 @@
     private static final int SUCCESS_STATUS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
 
-    private final Function<byte[], T> parser;
+    private final BiFunction<List<Header>, byte[], T> parser;
     private final int maxBodyBytes;
     private final CompletableFuture<Either<Integer, T>> result = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Predicate<List<Header>> isOwnResponse = response -> true;
+    private List<Header> responseHeaders = List.of();
     private int status;
 
     /** Creates a call whose response body the function parses; the function may throw a {@link RuntimeException}. */
@@ -52,6 +54,11 @@
 
     /** Creates a call that fails as soon as its response body exceeds the given size in bytes. */
     public HttpCall(Function<byte[], T> parser, int maxBodyBytes) {
+        this((headers, content) -> parser.apply(content), maxBodyBytes);
+    }
+
+    /** Creates a call whose response the function parses from its header fields and its body. */
+    public HttpCall(BiFunction<List<Header>, byte[], T> parser, int maxBodyBytes) {
         this.parser = parser;
         this.maxBodyBytes = maxBodyBytes;
     }
@@ -84,6 +91,7 @@
     @Override
     public void started(int value, List<Header> headers) {
         status = value;
+        responseHeaders = headers;
     }
 
     @Override
@@ -107,7 +115,7 @@
 
     private Either<Integer, T> parseBody() {
         try {
-            return Either.right(parser.apply(body.toByteArray()));
+            return Either.right(parser.apply(responseHeaders, body.toByteArray()));
         } catch (RuntimeException e) {
             Logger.warn("cannot parse the body of an HTTP response: {}", e.getMessage());
             return Either.left(NO_VALID_ANSWER);
