Show that changes are missed after the store came back older

Versions go back and are given out again; a watch from a version that exists again gets no 410, and the changes up to it are never sent.

--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -9,6 +9,7 @@
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
 import io.endiveshed.ports.platform.ObjectFeed;
+import io.endiveshed.ports.platform.StoreEra;
 import io.endiveshed.ports.platform.StoreError;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.vavr.control.Either;
@@ -23,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class FeedFollowerTest {
@@ -99,6 +101,27 @@
         }
     }
 
+    /** Guards against changes that are never seen because the store came back older and gave their versions out again. */
+    @Test
+    @Tag("known-red")
+    void changesWhoseVersionsWereGivenOutAgainAreSeen() {
+        startFollower(PACE);
+        feed.put("first");
+        feed.put("lost-1");
+        feed.put("lost-2");
+        advance(2_000);
+
+        feed.becomeSilent();
+        feed.restore(1);
+        feed.put("second");
+        feed.put("third");
+        advance(3_000);
+        feed.isSilent = false;
+        advance(5_000);
+
+        assertThat(known).containsExactly("first", "second", "third");
+    }
+
     private static GatewaySettings.Bounds bounds(long contactWindowMillis, long drainMillis) {
         return new GatewaySettings.Bounds(
                 Duration.ofSeconds(5),
@@ -141,6 +164,7 @@
      */
     private final class FakeFeed implements ObjectFeed<String> {
         private final List<FeedEvent<String>> changes = new ArrayList<>();
+        private StoreEra era = new StoreEra(1);
         private boolean isSilent;
         private boolean isWatchLost;
         private CompletableFuture<Either<StoreError, FeedBatch<String>>> openWatch;
@@ -155,6 +179,12 @@
             }
         }
 
+        /** Returns to a copy that has only the first changes. */
+        void restore(int changeCount) {
+            era = new StoreEra(era.number() + 1);
+            changes.subList(changeCount, changes.size()).clear();
+        }
+
         void becomeSilent() {
             isSilent = true;
             isWatchLost = true;
@@ -176,7 +206,7 @@
         @Override
         public CompletionStage<Either<StoreError, FeedBatch<String>>> list() {
             calls++;
-            return CompletableFuture.completedFuture(Either.right(new FeedBatch<>(changes, changes.size())));
+            return CompletableFuture.completedFuture(Either.right(new FeedBatch<>(changes, changes.size(), era)));
         }
 
         @Override
@@ -197,7 +227,7 @@
             CompletableFuture<Either<StoreError, FeedBatch<String>>> watch = openWatch;
             openWatch = null;
             watch.complete(Either.right(
-                    new FeedBatch<>(changes.subList((int) openWatchVersion, changes.size()), changes.size())));
+                    new FeedBatch<>(changes.subList((int) openWatchVersion, changes.size()), changes.size(), era)));
         }
     }
 
