Keep targets that an older copy of the store does not have

A target that had started in the seconds that the store lost was removed at once if the return was so short that no call of this entry failed in between, so its callers were sent to fewer targets until it had written its entry again.

Cause: the grace for missing targets began only after a failed call. It begins with the return from a copy, too.

--- a/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/TargetList.java
@@ -44,6 +44,14 @@
         graceEndNanos = OptionalLong.of(nowNanos + Math.min(RECOVERY_GRACE_NANOS, untilBoundsHold));
     }
 
+    /**
+     * Records that the store has come back from an older copy. Targets that the copy does not have write their entries
+     * again, also if no call has failed meanwhile.
+     */
+    public void storeRestored(long nowNanos) {
+        graceEndNanos = OptionalLong.of(nowNanos + Math.min(RECOVERY_GRACE_NANOS, contactWindowNanos));
+    }
+
     /** Replaces the list; all targets that are not in the new one count as missing. */
     public void replaceAll(Collection<TargetInstance> targets, long nowNanos) {
         Set<InstanceId> listed = new HashSet<>();
--- a/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
@@ -37,6 +37,17 @@
         assertThat(ids()).containsExactly("b");
     }
 
+    /** Guards against removing targets that the copy does not have, if no call to the store has failed. */
+    @Test
+    void targetsMissingInACopyAreKeptForAGracePeriod() {
+        list.replaceAll(List.of(target("a", false, 1), target("b", false, 1)), 10 * SECOND);
+        list.storeRestored(12 * SECOND);
+        list.replaceAll(List.of(target("a", false, 1)), 12 * SECOND);
+        assertThat(ids()).containsExactly("a", "b");
+        assertThat(list.removeExpired(15 * SECOND)).isTrue();
+        assertThat(ids()).containsExactly("a");
+    }
+
     /** Guards against requests to a target that left while the store was unavailable for this instance only. */
     @Test
     void gracePeriodEndsWhenTheBoundsHoldAgain() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -115,6 +115,7 @@
                 .with("version_before", version)
                 .with("age_ms", ageMillis())
                 .write();
+        listener.storeRestored();
         version = -1;
         requestNext();
     }
@@ -228,5 +229,8 @@
          * @param lastFailureStart start of the last call that failed
          */
         void storeRegained(ClockReading lastFailureStart);
+
+        /** Called when the store has come back from an older copy, before its objects are listed. */
+        default void storeRestored() {}
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -117,6 +117,11 @@
         list.storeRegained(lastFailureStart.monotonicNanos(), System.nanoTime());
     }
 
+    @Override
+    public void storeRestored() {
+        list.storeRestored(System.nanoTime());
+    }
+
     /** Keeps new requests away from a target that leaves; a list that shows it as ready does not change that. */
     private void markLeaving(TargetRuntime leaving) {
         TargetInstance instance = leaving.instance();
