Do not use targets that only an older copy of the store shows again

A target that had left without announcing it is ready again in the copy to which the store returns, and would get requests until the platform removes its entry.

Cause: a list was taken as the truth, whatever was known before. Targets that announced their leaving were remembered already.

--- a/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/service/TargetListTest.java
@@ -37,6 +37,35 @@
         assertThat(ids()).containsExactly("b");
     }
 
+    /** Guards against requests to a target that has left and is ready again in a copy to which the store returned. */
+    @Test
+    void targetThatHasLeftIsNotUsedBecauseTheStoreShowsItAgain() {
+        list.replaceAll(List.of(target("a", false, 1), target("b", false, 1)), 10 * SECOND);
+        list.remove(new InstanceId("a"), 11 * SECOND);
+        list.storeRestored(12 * SECOND);
+        list.replaceAll(List.of(target("a", false, 1), target("b", false, 1)), 12 * SECOND);
+        assertThat(list.isUsable(target("a", false, 1))).isFalse();
+        assertThat(list.isUsable(target("b", false, 1))).isTrue();
+        assertThat(list.isUsable(target("a", false, 2))).isTrue();
+
+        list.put(target("a", false, 1));
+        assertThat(list.isUsable(target("a", false, 1))).isTrue();
+    }
+
+    /** Guards against a target that lives and stays unusable after the store has returned to a copy. */
+    @Test
+    void targetThatIsStillListedAfterAWhileIsUsedAgain() {
+        list.replaceAll(List.of(target("a", false, 1)), 10 * SECOND);
+        list.remove(new InstanceId("a"), 11 * SECOND);
+        list.storeRestored(12 * SECOND);
+        list.replaceAll(List.of(target("a", false, 1)), 12 * SECOND);
+        long expiry = list.nextExpiryNanos().orElseThrow();
+        assertThat(expiry).isAtMost(18 * SECOND);
+        assertThat(list.removeExpired(expiry)).isTrue();
+        assertThat(list.isUsable(target("a", false, 1))).isTrue();
+        assertThat(ids()).containsExactly("a");
+    }
+
     /** Guards against removing targets that the copy does not have, if no call to the store has failed. */
     @Test
     void targetsMissingInACopyAreKeptForAGracePeriod() {
