Write the entry's record again after the store has lost it

Entries whose records the store loses with its return from a copy were not listed until they restarted: the others sent them no heartbeats and no notices of prompts, and divided retries and limits among too few entries.

Cause: an entry registered only at its start. It now registers again, after up to 0.5 s, whenever a list does not have it, and keeps the addresses of entries that it hears and that the copy does not list.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -30,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -59,6 +60,9 @@
     /** Margin subtracted from the idle limit that a target announces in whole seconds. */
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(1_500);
 
+    /** Maximum delay before an entry writes a lost record again, which spreads the writes of hundreds of entries. */
+    private static final Duration MAX_REGISTRATION_DELAY = Duration.ofMillis(500);
+
     private final GatewaySettings settings;
     private final EventLog log;
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -113,7 +117,8 @@
                 log,
                 backlogs,
                 crashes,
-                limits);
+                limits,
+                this::registerAgain);
         crashes.shareWith(peers);
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
@@ -250,6 +255,13 @@
         }
     }
 
+    /** Registers this entry whose record the store has lost; all entries lose theirs at the same time. */
+    private void registerAgain() {
+        long delayMillis = ThreadLocalRandom.current().nextLong(MAX_REGISTRATION_DELAY.toMillis());
+        log.change("entry.unlisted").with("register_in_ms", delayMillis).write();
+        loop.schedule(this::register, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     /** Registers this entry at the platform, and tries again until that succeeds. */
     private void register() {
         ports.entries()
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -52,12 +52,14 @@
     private final PlacementListener listener;
     private final CrashListener crashListener;
     private final LimitListener limitListener;
+    private final Runnable whenUnlisted;
     private final Map<InstanceId, InetSocketAddress> listedAddresses = new HashMap<>();
     private final Map<InstanceId, PeerState> activePeers = new HashMap<>();
     private final OwnPlacements ownPlacements = new OwnPlacements();
     private Channel channel;
     private int lastOwner;
     private boolean isListed;
+    private boolean isRestored;
 
     PeerExchange(
             PeerIncarnation self,
@@ -66,7 +68,8 @@
             EventLog log,
             PlacementListener listener,
             CrashListener crashListener,
-            LimitListener limitListener) {
+            LimitListener limitListener,
+            Runnable whenUnlisted) {
         this.self = self;
         this.address = address;
         this.loops = loops;
@@ -74,6 +77,7 @@
         this.listener = listener;
         this.crashListener = crashListener;
         this.limitListener = limitListener;
+        this.whenUnlisted = whenUnlisted;
     }
 
     void start() {
@@ -169,9 +173,22 @@
 
     @Override
     public void listed(FeedBatch<EntryRecord> batch) {
-        listedAddresses.clear();
+        // After a restore of the store, entries that are missing in it but heard of write their records again.
+        listedAddresses.keySet().retainAll(isRestored ? activePeers.keySet() : Set.of());
+        boolean wasListed = isListed;
         isListed = true;
+        isRestored = false;
         changed(batch);
+        boolean isSelfListed = batch.events().stream()
+                .anyMatch(event -> event.name().equals(self.instance().value()));
+        if (wasListed && !isSelfListed) {
+            whenUnlisted.run();
+        }
+    }
+
+    @Override
+    public void storeRestored() {
+        isRestored = true;
     }
 
     @Override
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
@@ -91,6 +92,37 @@
         second.exchange.stop();
     }
 
+    /** Guards against entries that stop telling each other of prompts because the store has lost their records. */
+    @Test
+    void entriesThatAreHeardOfAreKeptWhileAnOlderCopyOfTheStoreDoesNotListThem() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        second.start();
+        second.receiveListOf(first);
+        onLoop(() -> {
+            second.exchange.heartbeat(0, List.of(), List.of());
+            return null;
+        });
+        await(() -> !first.exchange.heardEntries().isEmpty());
+        first.receiveListOf(second);
+        onLoop(() -> {
+            first.exchange.storeRestored();
+            first.exchange.listed(new FeedBatch<>(List.of(), 1));
+            return null;
+        });
+        assertThat(onLoop(first.exchange::listedEntries).orElseThrow()).containsExactly(new InstanceId("entry-2"));
+        assertThat(onLoop(() -> first.unlistedCount)).isEqualTo(1);
+
+        onLoop(() -> {
+            first.exchange.listed(new FeedBatch<>(List.of(), 2));
+            return null;
+        });
+        assertThat(onLoop(first.exchange::listedEntries).orElseThrow()).isEmpty();
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
     /** Guards against a peer without a desired state that counts as one with a confirmed state. */
     @Test
     void agesOfPeersOnlyGrow() throws Exception {
@@ -177,7 +209,8 @@
                 new CrashMonitor(engines, loops.next(), new GatewayMetrics(new MetricRegistry()), log);
         private int lastEngine;
         private final List<Long> receivedNumbers = new ArrayList<>();
-        private final List<LimitNotice> receivedLimits = new ArrayList<>();
+        private final List<LimitNotice> receivedLimits = new CopyOnWriteArrayList<>();
+        private int unlistedCount;
 
         Entry(String name, long startedMillis) throws SocketException {
             InetSocketAddress address = freeAddress();
@@ -190,7 +223,8 @@
                     log,
                     this,
                     crashes,
-                    (entry, notice) -> receivedLimits.add(notice));
+                    (entry, notice) -> receivedLimits.add(notice),
+                    () -> unlistedCount++);
             crashes.shareWith(exchange);
         }
 
