Do not take an older copy of the store as a confirmation of keys

A key that was withdrawn while an entry had no contact, and whose withdrawal the store then lost, would have been accepted from the first read of the copy until the operator had written again: the age of the desired state began anew with it.

FeedFollowerTest.copyIsNoConfirmationBeforeTheOperatorHasWrittenAgain failed before with an age of 900 ms instead of 6 s or more.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
@@ -11,6 +11,7 @@
 final class CatalogUpdater implements FeedFollower.Listener<ServiceCatalog> {
     private final AtomicValue<ServiceCatalog> catalog;
     private final EventLog log;
+    private long storeVersionInForce = -1;
 
     CatalogUpdater(AtomicValue<ServiceCatalog> catalog, EventLog log) {
         this.catalog = catalog;
@@ -32,8 +33,26 @@
     @Override
     public void storeRegained(ClockReading lastFailureStart) {}
 
+    /**
+     * Returns whether the operator has written a desired state that is not older than the one in force. It writes its
+     * newest one, so what the copy has lost is in it. In a list, only the one in force under another version of the
+     * store is known not to be from the copy.
+     */
+    @Override
+    public boolean showsNewWrite(FeedBatch<ServiceCatalog> batch, boolean isList) {
+        long inForce = catalog.read().version();
+        return batch.events().stream()
+                .filter(event -> event.value().isPresent())
+                .anyMatch(event -> isList
+                        ? event.value().get().version() == inForce && event.version() != storeVersionInForce
+                        : event.value().get().version() >= inForce);
+    }
+
     private void activateIfNewer(ServiceCatalog candidate, long storeVersion) {
         ServiceCatalog previous = catalog.read();
+        if (candidate.version() >= previous.version()) {
+            storeVersionInForce = storeVersion;
+        }
         if (candidate.version() <= previous.version()) {
             if (candidate.version() < previous.version()) {
                 log.change("state.ignored")
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -20,7 +21,8 @@
  * again then, so a watch from one of a former era may miss changes.
  *
  * <p>Confined to one event loop. The objects count as confirmed at the start of the call that succeeded, not at its
- * end, because a watch that waits on a dead connection confirms nothing.
+ * end, because a watch that waits on a dead connection confirms nothing. What is read from an older copy of the store
+ * confirms nothing until the objects have been written again.
  */
 final class FeedFollower<T> {
     /** First delay after a failed call; it doubles with each failure up to the maximum. */
@@ -41,6 +43,12 @@
      */
     private static final Duration PROBE_WAIT = Duration.ofMillis(50);
 
+    /**
+     * Time after the return of the store from an older copy within which the operator writes its objects again. It took
+     * 0.1 s on played days; the platform names no bound.
+     */
+    private static final Duration REWRITE_TIME = Duration.ofSeconds(1);
+
     private final String name;
     private final ObjectFeed<T> feed;
     private final Pace pace;
@@ -51,6 +59,7 @@
     private final Listener<T> listener;
     private long version = -1;
     private long lastCall;
+    private OptionalLong copyUntilNanos = OptionalLong.empty();
     private long retryMillis = FIRST_RETRY_MILLIS;
     private Freshness freshness = Freshness.NEVER;
     private ClockReading lastFailureStart;
@@ -101,11 +110,26 @@
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::listed)));
         } else {
-            feed.watch(version, isStoreLost ? PROBE_WAIT : pace.watchTimeout())
+            feed.watch(version, watchTimeout(start))
                     .thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::changed)));
         }
     }
 
+    /** Returns the timeout of the next watch, which ends when an older copy may count as rewritten. */
+    private Duration watchTimeout(ClockReading start) {
+        if (isStoreLost) {
+            return PROBE_WAIT;
+        }
+        if (copyUntilNanos.isEmpty()) {
+            return pace.watchTimeout();
+        }
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(copyUntilNanos.getAsLong() - start.monotonicNanos());
+        return remainingMillis < PROBE_WAIT.toMillis()
+                ? PROBE_WAIT
+                : Duration.ofMillis(
+                        Math.min(remainingMillis, pace.watchTimeout().toMillis()));
+    }
+
     /** Forgets the known version and lists the objects; the result of the current call is ignored. */
     private void storeRestored(StoreEra before, StoreEra now) {
         log.change("store.restored")
@@ -116,6 +140,7 @@
                 .with("age_ms", ageMillis())
                 .write();
         listener.storeRestored();
+        copyUntilNanos = OptionalLong.of(clock.get().monotonicNanos() + REWRITE_TIME.toNanos());
         version = -1;
         requestNext();
     }
@@ -151,7 +176,10 @@
                     .write();
             listener.storeRegained(lastFailureStart);
         }
-        freshness = Freshness.confirmedAt(start);
+        if (isConfirmation(start, batch, !isWatch)) {
+            copyUntilNanos = OptionalLong.empty();
+            freshness = Freshness.confirmedAt(start);
+        }
         apply.accept(batch);
         long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
         if (delayMillis > 0) {
@@ -161,6 +189,12 @@
         }
     }
 
+    private boolean isConfirmation(ClockReading start, FeedBatch<T> batch, boolean isList) {
+        return copyUntilNanos.isEmpty()
+                || start.monotonicNanos() - copyUntilNanos.getAsLong() >= 0
+                || listener.showsNewWrite(batch, isList);
+    }
+
     /** Requests after a delay, unless the objects are listed again meanwhile. */
     private void requestLater(long delayMillis) {
         long call = lastCall;
@@ -232,5 +266,16 @@
 
         /** Called when the store has come back from an older copy, before its objects are listed. */
         default void storeRestored() {}
+
+        /**
+         * Returns whether the objects show that their writer has written since the store came back from an older copy,
+         * so that the copy no longer hides what it had written before. Called before the objects are applied.
+         *
+         * @param batch all objects, or those that changed
+         * @param isList whether the batch has all objects, of which some may be from the copy
+         */
+        default boolean showsNewWrite(FeedBatch<T> batch, boolean isList) {
+            return false;
+        }
     }
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -137,6 +137,39 @@
         assertThat(known).containsExactly("second");
     }
 
+    /** Guards against a key that is accepted because a copy without its withdrawal has just been read. */
+    @Test
+    void copyIsNoConfirmationBeforeTheOperatorHasWrittenAgain() {
+        FeedFollower<String> follower = startFollower(PACE);
+        feed.put("first");
+        advance(1_000);
+        feed.becomeSilent();
+        feed.restore(0);
+        feed.put("in-the-copy");
+        advance(6_000);
+        feed.isSilent = false;
+        advanceUntilKnown("in-the-copy");
+        advance(900);
+        assertThat(follower.ageMillis()).isAtLeast(6_000L);
+        advance(400);
+        assertThat(follower.ageMillis()).isAtMost(400L);
+    }
+
+    /** Guards against callers that are refused although the operator has already written again. */
+    @Test
+    void objectsThatWereWrittenAgainAreConfirmedAtOnce() {
+        FeedFollower<String> follower = startFollower(PACE);
+        feed.put("first");
+        advance(1_000);
+        feed.becomeSilent();
+        feed.restore(0);
+        advance(6_000);
+        feed.put("written-again");
+        feed.isSilent = false;
+        advanceUntilKnown("written-again");
+        assertThat(follower.ageMillis()).isAtMost(100L);
+    }
+
     private static GatewaySettings.Bounds bounds(long contactWindowMillis, long drainMillis) {
         return new GatewaySettings.Bounds(
                 Duration.ofSeconds(5),
@@ -165,6 +198,13 @@
         return follower;
     }
 
+    private void advanceUntilKnown(String name) {
+        for (int i = 0; i < 5_000 && !known.contains(name); i++) {
+            advance(1);
+        }
+        assertThat(known).contains(name);
+    }
+
     private void advance(long millis) {
         for (long i = 0; i < millis; i++) {
             nowMillis++;
@@ -233,7 +273,7 @@
             openWatchEndMillis = nowMillis + wait.toMillis();
             isWatchLost = isSilent;
             CompletionStage<Either<StoreError, FeedBatch<String>>> result = openWatch;
-            if (!isWatchLost && afterVersion < changes.size()) {
+            if (!isWatchLost && afterVersion != changes.size()) {
                 completeWatch();
             }
             return result;
@@ -242,6 +282,10 @@
         private void completeWatch() {
             CompletableFuture<Either<StoreError, FeedBatch<String>>> watch = openWatch;
             openWatch = null;
+            if (openWatchVersion > changes.size()) {
+                watch.complete(Either.left(StoreError.TOO_OLD));
+                return;
+            }
             watch.complete(Either.right(
                     new FeedBatch<>(changes.subList((int) openWatchVersion, changes.size()), changes.size(), era)));
         }
@@ -261,5 +305,10 @@
 
         @Override
         public void storeRegained(ClockReading lastFailureStart) {}
+
+        @Override
+        public boolean showsNewWrite(FeedBatch<String> batch, boolean isList) {
+            return batch.events().stream().anyMatch(event -> event.name().equals("written-again"));
+        }
     }
 }
