Model-check the age of keys over a store that returns to a copy

freshness.als gets a copy, a return and the moment at which the operator has written again. No request runs past the maximum age if reads of the copy confirm nothing; two broken variants (copies confirm; calls sent before the return confirm whatever they read) give counterexamples.

--- a/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
+++ b/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
@@ -33,6 +33,20 @@
         assertThat(specification.isSatisfiable("ageSinceAnswer")).isTrue();
     }
 
+    /** Guards against a withdrawn key that works again because the store has lost its withdrawal. */
+    @Test
+    void revokedKeyAuthorizesNoRequestAfterTheStoreHasReturnedToACopy() {
+        assertThat(specification.isSatisfiable("noRunPastMaxAgeWithCopies")).isFalse();
+        assertThat(specification.isSatisfiable("runAfterReturn")).isTrue();
+    }
+
+    /** Guards against a specification that misses a read of the copy, also by a call sent before the return. */
+    @Test
+    void copiesThatConfirmGiveACounterexample() {
+        assertThat(specification.isSatisfiable("copiesConfirm")).isTrue();
+        assertThat(specification.isSatisfiable("callsSentBeforeTheReturnConfirm")).isTrue();
+    }
+
     /**
      * Documents a known limit: the age is underestimated if the instance is suspended and its time of day is set back
      * by the same amount in the meantime.
--- a/verification/src/test/resources/freshness.als
+++ b/verification/src/test/resources/freshness.als
@@ -1,5 +1,5 @@
 -- Age of an entry's state after the operator revokes an API key: calls to the store are answered late or never, the
--- instance of the entry is suspended, and its time of day jumps.
+-- instance of the entry is suspended, its time of day jumps, and the store returns to an older copy.
 module freshness
 
 open util/ordering[Moment]
@@ -8,7 +8,17 @@
 
 one sig Store {
   -- moment from which the key is revoked
-  revoked: Moment
+  revoked: Moment,
+  -- moment at which the store returns from a copy
+  restored: lone Moment,
+  -- moment of which the copy is
+  copied: lone Moment,
+  -- moment from which the operator has written its objects again
+  rewritten: lone Moment
+} {
+  some restored iff some copied
+  some restored iff some rewritten
+  some restored => lt[copied, restored] and lte[restored, rewritten] and lt[revoked, restored]
 }
 
 -- Answered calls of the entry to the store. A call without an answer confirms nothing and is not modelled.
@@ -96,6 +106,45 @@
   (noSimultaneousClockErrors and all r: Run | allowedByAgeSinceAnswer[r]) => allRunsWithinMaxAge
 } for 8 Moment, 1 Call, 1 Run, 6 Int
 
+-- What a read at a moment shows: the copy does not have a revocation that was made after it.
+pred keyLooksValid[m: Moment] {
+  lt[m, Store.revoked] or
+    (some Store.restored and gte[m, Store.restored] and lt[m, Store.rewritten] and lt[Store.copied, Store.revoked])
+}
+
+pred withinMaxAge[r: Run] {
+  keyLooksValid[r.basis.read]
+  lte[monotonicAge[r.basis.sent, r.at], maxAge]
+  lte[timeOfDayAge[r.basis.sent, r.at], maxAge]
+}
+
+-- A call confirms the state if the store was read before its return, or if the operator had written again when the
+-- call was sent.
+pred isNotFromCopy[r: Run] {
+  no Store.restored or lt[r.basis.read, Store.restored] or gte[r.basis.sent, Store.rewritten]
+}
+
+check noRunPastMaxAgeWithCopies {
+  (noSimultaneousClockErrors and all r: Run | withinMaxAge[r] and isNotFromCopy[r]) => allRunsWithinMaxAge
+} for 9 Moment, 2 Call, 2 Run, 6 Int
+
+check copiesConfirm {
+  (noSimultaneousClockErrors and all r: Run | withinMaxAge[r]) => allRunsWithinMaxAge
+} for 9 Moment, 1 Call, 1 Run, 6 Int
+
+-- A call that was sent before the return and read the copy confirms nothing either.
+check callsSentBeforeTheReturnConfirm {
+  (noSimultaneousClockErrors and all r: Run | withinMaxAge[r]
+    and (isNotFromCopy[r] or lt[r.basis.sent, Store.restored])) => allRunsWithinMaxAge
+} for 9 Moment, 1 Call, 1 Run, 6 Int
+
+-- Shows that a request can run after a return.
+run runAfterReturn {
+  noSimultaneousClockErrors
+  all r: Run | withinMaxAge[r] and isNotFromCopy[r]
+  some r: Run | some Store.restored and gt[r.at, Store.restored]
+} for 9 Moment, 2 Call, 2 Run, 6 Int
+
 -- The known limit described in docs/platform.md.
 check simultaneousClockErrors {
   (all r: Run | allowedByBothClocks[r]) => allRunsWithinMaxAge
