--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -20,10 +20,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 final class FeedFollowerTest {
@@ -170,6 +172,33 @@
         assertThat(follower.ageMillis()).isAtMost(100L);
     }
 
+    /** Guards against objects that stay unknown after any order of changes, outages and returns to copies. */
+    @Test
+    void objectsAreKnownAfterAnyScheduleOfOutagesAndReturns() {
+        for (long seed = 1; seed <= 200; seed++) {
+            Random random = new Random(seed);
+            feed = new FakeFeed();
+            known.clear();
+            FeedFollower<String> follower = startFollower(PACE);
+            for (int step = 0; step < 30; step++) {
+                switch (random.nextInt(5)) {
+                    case 0 -> feed.becomeSilent();
+                    case 1 -> feed.isSilent = false;
+                    case 2 -> {
+                        feed.becomeSilent();
+                        feed.restore(random.nextInt(feed.changes.size() + 1));
+                    }
+                    default -> feed.put("object-" + step);
+                }
+                advance(random.nextInt(1_500));
+            }
+            feed.isSilent = false;
+            advance(5_000);
+            assertWithMessage("seed %s", seed).that(known).containsExactlyElementsIn(feed.names());
+            follower.stop();
+        }
+    }
+
     private static GatewaySettings.Bounds bounds(long contactWindowMillis, long drainMillis) {
         return new GatewaySettings.Bounds(
                 Duration.ofSeconds(5),
@@ -241,6 +270,10 @@
             changes.subList(changeCount, changes.size()).clear();
         }
 
+        Set<String> names() {
+            return changes.stream().map(FeedEvent::name).collect(Collectors.toSet());
+        }
+
         void becomeSilent() {
             isSilent = true;
             isWatchLost = true;
--- a/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
+++ b/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
@@ -44,7 +44,8 @@
     @Test
     void copiesThatConfirmGiveACounterexample() {
         assertThat(specification.isSatisfiable("copiesConfirm")).isTrue();
-        assertThat(specification.isSatisfiable("callsSentBeforeTheReturnConfirm")).isTrue();
+        assertThat(specification.isSatisfiable("callsSentBeforeTheReturnConfirm"))
+                .isTrue();
     }
 
     /**
