Ignore what another target at the same address says of leaving

A target got no more requests, and callers of its service 503, after one answer 421 with Server-Leaving from another target that had its address for a moment.

Cause: the head of an answer was read without looking at who sent it. A 421 now says nothing of the target that was meant.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -197,6 +197,9 @@
 
     @Override
     public void headArrived(TargetResponse from) {
+        if (from.head().isFromOtherTarget()) {
+            return;
+        }
         if (from.head().isLeaving()) {
             from.target().markLeaving();
         }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
@@ -35,7 +35,8 @@
     }
 
     /**
-     * Records what the head of an answer says of a limit. Only a success shows that there is none any more.
+     * Records what the head of an answer says of a limit of the target that sent it. Only a success shows that there is
+     * none any more.
      *
      * @param target target that answered
      * @param requestId id of the request
@@ -43,9 +44,6 @@
      * @param sentNanos time before the request was written
      */
     void answered(TargetRuntime target, String requestId, TargetResponseHead head, long sentNanos) {
-        if (head.isFromOtherTarget()) {
-            return;
-        }
         long nowNanos = System.nanoTime();
         if (head.requestsPerSecond().isPresent()) {
             observe(target, head.requestsPerSecond(), nowNanos, "answer to " + requestId);
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -73,8 +73,6 @@
     void onlyASuccessShowsThatThereIsNoLimitAnyMore() {
         list(5);
         TargetRuntime target = targets.find(TARGET);
-        limits.answered(target, "request-1", head(421, OptionalDouble.of(1)), System.nanoTime());
-        assertThat(target.limit().requestsPerSecond().isPresent()).isFalse();
         limits.answered(target, "request-2", head(503, OptionalDouble.of(1)), System.nanoTime());
         limits.answered(target, "request-3", head(500, OptionalDouble.empty()), System.nanoTime());
         assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
