--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -44,9 +45,10 @@
             best = cheapest(request, candidates, excluded, true, nowNanos);
         }
         if (best == null) {
+            Optional<Duration> wait = TargetPauses.shortest(candidates, nowNanos);
             return Either.left(Failure.of(ErrorKind.NO_TARGET)
-                    .message("no usable target of " + request.service().name())
-                    .retryAfter(TargetPauses.shortest(candidates, nowNanos).orElse(NO_TARGET_RETRY_DELAY))
+                    .message(TargetPauses.reason(request.service().name(), wait))
+                    .retryAfter(wait.orElse(NO_TARGET_RETRY_DELAY))
                     .build());
         }
         best.requestStarted();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetPauses.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetPauses.java
@@ -1,10 +1,11 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.id.ServiceName;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
-/** Computes when a caller may return if targets pause or have had the requests that their limits allow. */
+/** Tells callers why and for how long targets that pause, or have had what their limits allow, get no requests. */
 final class TargetPauses {
     private TargetPauses() {}
 
@@ -18,4 +19,11 @@
                 ? Optional.empty()
                 : Optional.of(Duration.ofMillis(shortestMillis));
     }
+
+    /** Returns why no target of a service gets a request, given the result of {@link #shortest}. */
+    static String reason(ServiceName service, Optional<Duration> shortest) {
+        return shortest.isPresent()
+                ? "all targets of " + service + " pause or have had the requests that their limits allow"
+                : "no usable target of " + service;
+    }
 }
