Tell other entries only own observations of limits

After a limit had ended and was named again some seconds later, 16 of 27 entries did not know it and sent as much as before, in virtual time with heartbeats that take up to 0.3 s.

Cause: entries passed on what they had heard, with its age. The time on the way is not known, so the same observation looked younger from entry to entry, and an end of a limit could replace a newer limit. Only own observations are told now.

RequestLimitsTest asserted that an observation is passed on; it now asserts that only own ones are.

--- a/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
@@ -8,7 +8,8 @@
  * Confined to one thread; times are those of a monotonic clock in nanoseconds.
  *
  * <p>What is known has the time at which it was true. An older observation, such as the answer to a request that was
- * sent before the target named its limit, does not replace a newer one.
+ * sent before the target named its limit, does not replace a newer one. Only own observations are told to other entries:
+ * the time that a message was under way is not known, so what is passed on would look younger from entry to entry.
  *
  * <pre>{@code
  * limit.observeLimit(2.5, nowNanos);
@@ -29,6 +30,7 @@
 
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private boolean isObserved;
+    private boolean isOwnObservation;
     private long observedNanos;
     private LimitShare share = LimitShare.NONE;
     private double permits;
@@ -41,7 +43,7 @@
      * @param atNanos time at which it named the limit
      */
     public boolean observeLimit(double perSecond, long atNanos) {
-        return observe(OptionalDouble.of(Math.max(MIN_PER_SECOND, perSecond)), atNanos);
+        return update(OptionalDouble.of(perSecond), atNanos, true);
     }
 
     /**
@@ -50,18 +52,31 @@
      * @param atNanos a time after which the target did not name one, such as the start of the request
      */
     public boolean observeNoLimit(long atNanos) {
-        return isObserved && observe(OptionalDouble.empty(), atNanos);
+        return isObserved && update(OptionalDouble.empty(), atNanos, true);
     }
 
-    private boolean observe(OptionalDouble perSecond, long atNanos) {
+    /**
+     * Records what another entry has observed; returns whether this changed what is known.
+     *
+     * @param perSecond requests a second that the target takes; empty if it no longer names a limit
+     * @param atNanos time of the observation
+     */
+    public boolean learn(OptionalDouble perSecond, long atNanos) {
+        return update(perSecond, atNanos, false);
+    }
+
+    private boolean update(OptionalDouble perSecond, long atNanos, boolean isOwn) {
         if (isObserved && atNanos - observedNanos <= 0) {
             return false;
         }
         isObserved = true;
+        isOwnObservation = isOwn;
         observedNanos = atNanos;
-        boolean isChanged = !requestsPerSecond.equals(perSecond);
-        requestsPerSecond = perSecond;
-        return isChanged;
+        OptionalDouble before = requestsPerSecond;
+        requestsPerSecond = perSecond.isPresent()
+                ? OptionalDouble.of(Math.max(MIN_PER_SECOND, perSecond.getAsDouble()))
+                : perSecond;
+        return !requestsPerSecond.equals(before);
     }
 
     /** Returns the requests a second that the target takes from all entries together; empty if it names no limit. */
@@ -69,9 +84,9 @@
         return requestsPerSecond;
     }
 
-    /** Returns whether the target has ever named a limit. */
-    public boolean isObserved() {
-        return isObserved;
+    /** Returns whether this entry itself has made the newest observation. */
+    public boolean isOwnObservation() {
+        return isOwnObservation;
     }
 
     /** Returns the age in milliseconds of what is known; 0 if the target has never named a limit. */
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/LimitShareTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitShareTest.java
@@ -137,6 +137,28 @@
         assertThat(simulation.sent() - before).isAtLeast(27 * 9);
     }
 
+    /** Guards against what an entry has heard that grows younger from entry to entry and outlives what is true. */
+    @Test
+    void limitThatIsNamedAgainSoonAfterItsEndIsKnownToAllAndKept() {
+        for (long seed = 1; seed <= 10; seed++) {
+            LimitSimulation simulation = new LimitSimulation(seed, 2, 27);
+            simulation.setNamesLimit(true);
+            simulation.run(10_000);
+            for (int i = 0; i < 5; i++) {
+                simulation.setNamesLimit(false);
+                simulation.run(4_000);
+                assertWithMessage("end, seed %s", seed)
+                        .that(simulation.entriesWithLimit())
+                        .isEqualTo(0);
+                simulation.setNamesLimit(true);
+                simulation.run(3_000);
+                assertWithMessage("limit, seed %s", seed)
+                        .that(simulation.entriesWithLimit())
+                        .isEqualTo(27);
+            }
+        }
+    }
+
     /** Guards against shares that move between entries that stay when one entry comes or goes. */
     @Test
     void oneEntryMoreChangesTheShareOfAtMostOneOther() {
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.InstanceId;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -23,6 +25,10 @@
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
     private static final long CONTACT_WINDOW_MILLIS = 3_000;
     private static final long ANSWER_MILLIS = 30;
+
+    /** Longest time for which a heartbeat is under way or waits in a busy process. */
+    private static final int MAX_HEARTBEAT_DELAY_MILLIS = 300;
+
     private static final long LIST_DELAY_MILLIS = 100;
     private static final long WINDOW_MILLIS = 4_000;
 
@@ -109,6 +115,13 @@
         return most;
     }
 
+    /** Returns how many entries know a limit. */
+    long entriesWithLimit() {
+        return entries.values().stream()
+                .filter(entry -> entry.targetLimit.requestsPerSecond().isPresent())
+                .count();
+    }
+
     /** Returns the number of requests that the target has received. */
     int sent() {
         return sent;
@@ -124,6 +137,7 @@
             }
             for (Entry entry : active) {
                 entry.receiveAnswers();
+                entry.receiveNotices();
                 entry.readStore();
                 if ((nowMillis + entry.phaseMillis) % HEARTBEAT_MILLIS == 0) {
                     entry.heartbeat(active);
@@ -142,6 +156,8 @@
         private final TargetLimit targetLimit = new TargetLimit();
         private final Map<InstanceId, Long> heardMillis = new HashMap<>();
         private final Deque<Answer> answers = new ArrayDeque<>();
+        private final PriorityQueue<Notice> notices =
+                new PriorityQueue<>(Comparator.comparingLong(Notice::arrivesMillis));
         private final long phaseMillis = random.nextInt((int) (HEARTBEAT_MILLIS / TICK_MILLIS)) * TICK_MILLIS;
         private final long startedMillis = nowMillis;
         private Set<InstanceId> known = Set.of();
@@ -174,8 +190,11 @@
             for (Entry other : active) {
                 if (other != this && other.group == group) {
                     other.isOutdated |= other.heardMillis.put(id, nowMillis) == null;
-                    if (targetLimit.isObserved()) {
-                        other.told(targetLimit.requestsPerSecond(), targetLimit.ageMillis(nowNanos()));
+                    if (targetLimit.isOwnObservation()) {
+                        other.notices.add(new Notice(
+                                nowMillis + random.nextInt(MAX_HEARTBEAT_DELAY_MILLIS),
+                                targetLimit.requestsPerSecond(),
+                                targetLimit.ageMillis(nowNanos())));
                     }
                 }
             }
@@ -191,17 +210,12 @@
             }
         }
 
-        private void told(OptionalDouble perSecond, long ageMillis) {
-            long atNanos = nowNanos() - ageMillis * 1_000_000;
-            observed(perSecond, atNanos);
-        }
-
-        private void observed(OptionalDouble perSecond, long atNanos) {
-            boolean isChanged = perSecond.isPresent()
-                    ? targetLimit.observeLimit(perSecond.getAsDouble(), atNanos)
-                    : targetLimit.observeNoLimit(atNanos);
-            if (isChanged) {
-                share();
+        private void receiveNotices() {
+            while (!notices.isEmpty() && notices.peek().arrivesMillis <= nowMillis) {
+                Notice notice = notices.poll();
+                if (targetLimit.learn(notice.perSecond, nowNanos() - notice.ageMillis * 1_000_000)) {
+                    share();
+                }
             }
         }
 
@@ -215,11 +229,12 @@
         private void receiveAnswers() {
             while (!answers.isEmpty() && answers.peek().arrivesMillis <= nowMillis) {
                 Answer answer = answers.poll();
-                if (answer.namesLimit) {
-                    toldMillis = Math.min(toldMillis, nowMillis);
-                    observed(OptionalDouble.of(limit), nowNanos());
-                } else {
-                    observed(OptionalDouble.empty(), answer.sentMillis * 1_000_000);
+                toldMillis = answer.namesLimit ? Math.min(toldMillis, nowMillis) : toldMillis;
+                boolean isChanged = answer.namesLimit
+                        ? targetLimit.observeLimit(limit, nowNanos())
+                        : targetLimit.observeNoLimit(answer.sentMillis * 1_000_000);
+                if (isChanged) {
+                    share();
                 }
             }
         }
@@ -242,5 +257,7 @@
         }
     }
 
+    private record Notice(long arrivesMillis, OptionalDouble perSecond, long ageMillis) {}
+
     private record Answer(long sentMillis, long arrivesMillis, boolean namesLimit) {}
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -45,10 +44,11 @@
      */
     void answered(TargetRuntime target, String requestId, TargetResponseHead head, long sentNanos) {
         long nowNanos = System.nanoTime();
-        if (head.requestsPerSecond().isPresent()) {
-            observe(target, head.requestsPerSecond(), nowNanos, "answer to " + requestId);
-        } else if (head.isSuccess()) {
-            observe(target, OptionalDouble.empty(), sentNanos, "answer to " + requestId);
+        boolean isChanged = head.requestsPerSecond().isPresent()
+                ? target.limit().observeLimit(head.requestsPerSecond().getAsDouble(), nowNanos)
+                : head.isSuccess() && target.limit().observeNoLimit(sentNanos);
+        if (isChanged) {
+            changed(target, "answer to " + requestId);
         }
     }
 
@@ -57,7 +57,9 @@
         TargetRuntime target = targets.find(notice.target());
         if (target != null && target.instance().startedMillis() == notice.startedMillis()) {
             long atNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(notice.ageMillis());
-            observe(target, notice.requestsPerSecond(), atNanos, entry.value());
+            if (target.limit().learn(notice.requestsPerSecond(), atNanos)) {
+                changed(target, entry.value());
+            }
         }
     }
 
@@ -80,14 +82,15 @@
                 .write();
     }
 
-    /** Returns what is known of limits, the newest first, to be told to the other entries. */
+    /** Returns what this entry has itself observed of limits, the newest first, to be told to the other entries. */
     List<LimitNotice> notices() {
         long nowNanos = System.nanoTime();
         List<LimitNotice> notices = new ArrayList<>();
         for (TargetRuntime target : targets.all()) {
             TargetLimit limit = target.limit();
             long ageMillis = limit.ageMillis(nowNanos);
-            if (limit.requestsPerSecond().isPresent() || (limit.isObserved() && ageMillis <= END_NOTICE_MILLIS)) {
+            boolean isNews = limit.requestsPerSecond().isPresent() || ageMillis <= END_NOTICE_MILLIS;
+            if (limit.isOwnObservation() && isNews) {
                 notices.add(new LimitNotice(
                         target.instance().id(),
                         target.instance().startedMillis(),
@@ -99,19 +102,17 @@
         return notices;
     }
 
-    private void observe(TargetRuntime target, OptionalDouble perSecond, long atNanos, String source) {
+    private void changed(TargetRuntime target, String source) {
         TargetLimit limit = target.limit();
-        boolean isChanged = perSecond.isPresent()
-                ? limit.observeLimit(perSecond.getAsDouble(), atNanos)
-                : limit.observeNoLimit(atNanos);
-        if (!isChanged) {
-            return;
-        }
         share(target);
         metrics.count("target_limits_changed");
         log.change("target.limit")
                 .with("target", target.instance().id())
-                .with("per_second", perSecond.isPresent() ? perSecond.getAsDouble() : "none")
+                .with(
+                        "per_second",
+                        limit.requestsPerSecond().isPresent()
+                                ? limit.requestsPerSecond().getAsDouble()
+                                : "none")
                 .with("source", source)
                 .with("age_ms", limit.ageMillis(System.nanoTime()))
                 .with("own_share", limit.share().requestsPerSecond())
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -93,7 +93,19 @@
         assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
         limits.limitObservedElsewhere(new InstanceId("entry-2"), new LimitNotice(TARGET, 5, OptionalDouble.empty(), 0));
         assertThat(target.limit().requestsPerSecond().isPresent()).isFalse();
+    }
+
+    /** Guards against what other entries have told that is passed on and looks younger each time. */
+    @Test
+    void onlyOwnObservationsAreToldToOtherEntries() {
+        list(5);
+        limits.limitObservedElsewhere(
+                new InstanceId("entry-2"), new LimitNotice(TARGET, 5, OptionalDouble.of(1), 2_000));
+        assertThat(limits.notices()).isEmpty();
+        limits.answered(targets.find(TARGET), "request-1", head(200, OptionalDouble.of(1)), System.nanoTime());
         assertThat(limits.notices()).hasSize(1);
+        limits.answered(targets.find(TARGET), "request-2", head(200, OptionalDouble.empty()), System.nanoTime());
+        assertThat(limits.notices().get(0).requestsPerSecond().isPresent()).isFalse();
     }
 
     private void list(long startedMillis) {
