Stop telling ends of limits that all entries know

A target that once named a limit stayed in the heartbeats for as long as it answered, always as the newest news; with more than 16 of them, limits in force would not be told any more.

Cause: the time for which an end is told was measured from the last answer without a limit, not from the first one.

--- a/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
@@ -32,6 +32,7 @@
     private boolean isObserved;
     private boolean isOwnObservation;
     private long observedNanos;
+    private long changedNanos;
     private LimitShare share = LimitShare.NONE;
     private double permits;
     private long refilledNanos;
@@ -76,7 +77,9 @@
         requestsPerSecond = perSecond.isPresent()
                 ? OptionalDouble.of(Math.max(MIN_PER_SECOND, perSecond.getAsDouble()))
                 : perSecond;
-        return !requestsPerSecond.equals(before);
+        boolean isChanged = !requestsPerSecond.equals(before);
+        changedNanos = isChanged ? atNanos : changedNanos;
+        return isChanged;
     }
 
     /** Returns the requests a second that the target takes from all entries together; empty if it names no limit. */
@@ -94,6 +97,11 @@
         return isObserved ? TimeUnit.NANOSECONDS.toMillis(nowNanos - observedNanos) : 0;
     }
 
+    /** Returns the time in milliseconds since the target first named the limit that is known, or first named none. */
+    public long unchangedMillis(long nowNanos) {
+        return isObserved ? TimeUnit.NANOSECONDS.toMillis(nowNanos - changedNanos) : 0;
+    }
+
     /** Returns the share of this entry. */
     public LimitShare share() {
         return share;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -109,7 +109,7 @@
         this.backlogs = new EngineBacklogTracker(targets);
         GatewayMetrics metrics = new GatewayMetrics(registry);
         this.crashes = new CrashMonitor(ports.engineMemory(), loop, metrics, log);
-        this.limits = new RequestLimits(self.instance(), targets, metrics, log);
+        this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
                 settings.peers(),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLimits.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps the limits that targets name up to date, from the answers to this entry and from the notices of other entries,
@@ -22,13 +23,15 @@
 
     private final InstanceId self;
     private final Targets targets;
+    private final LongSupplier nanoClock;
     private final GatewayMetrics metrics;
     private final EventLog log;
     private Set<InstanceId> entries = Set.of();
 
-    RequestLimits(InstanceId self, Targets targets, GatewayMetrics metrics, EventLog log) {
+    RequestLimits(InstanceId self, Targets targets, LongSupplier nanoClock, GatewayMetrics metrics, EventLog log) {
         this.self = self;
         this.targets = targets;
+        this.nanoClock = nanoClock;
         this.metrics = metrics;
         this.log = log;
     }
@@ -43,7 +46,7 @@
      * @param sentNanos time before the request was written
      */
     void answered(TargetRuntime target, String requestId, TargetResponseHead head, long sentNanos) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = nanoClock.getAsLong();
         boolean isChanged = head.requestsPerSecond().isPresent()
                 ? target.limit().observeLimit(head.requestsPerSecond().getAsDouble(), nowNanos)
                 : head.isSuccess() && target.limit().observeNoLimit(sentNanos);
@@ -56,7 +59,7 @@
     public void limitObservedElsewhere(InstanceId entry, LimitNotice notice) {
         TargetRuntime target = targets.find(notice.target());
         if (target != null && target.instance().startedMillis() == notice.startedMillis()) {
-            long atNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(notice.ageMillis());
+            long atNanos = nanoClock.getAsLong() - TimeUnit.MILLISECONDS.toNanos(notice.ageMillis());
             if (target.limit().learn(notice.requestsPerSecond(), atNanos)) {
                 changed(target, entry.value());
             }
@@ -84,18 +87,18 @@
 
     /** Returns what this entry has itself observed of limits, the newest first, to be told to the other entries. */
     List<LimitNotice> notices() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = nanoClock.getAsLong();
         List<LimitNotice> notices = new ArrayList<>();
         for (TargetRuntime target : targets.all()) {
             TargetLimit limit = target.limit();
-            long ageMillis = limit.ageMillis(nowNanos);
-            boolean isNews = limit.requestsPerSecond().isPresent() || ageMillis <= END_NOTICE_MILLIS;
+            boolean isNews =
+                    limit.requestsPerSecond().isPresent() || limit.unchangedMillis(nowNanos) <= END_NOTICE_MILLIS;
             if (limit.isOwnObservation() && isNews) {
                 notices.add(new LimitNotice(
                         target.instance().id(),
                         target.instance().startedMillis(),
                         limit.requestsPerSecond(),
-                        ageMillis));
+                        limit.ageMillis(nowNanos)));
             }
         }
         notices.sort(Comparator.comparingLong(LimitNotice::ageMillis));
@@ -114,7 +117,7 @@
                                 ? limit.requestsPerSecond().getAsDouble()
                                 : "none")
                 .with("source", source)
-                .with("age_ms", limit.ageMillis(System.nanoTime()))
+                .with("age_ms", limit.ageMillis(nanoClock.getAsLong()))
                 .with("own_share", limit.share().requestsPerSecond())
                 .with("entries", entries.size())
                 .write();
@@ -129,6 +132,6 @@
                         self,
                         entries)
                 : LimitShare.NONE;
-        limit.setShare(share, System.nanoTime());
+        limit.setShare(share, nanoClock.getAsLong());
     }
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -129,7 +129,7 @@
                 (request, waitingSince, excluded, now) -> pick(),
                 (request, waitingSince, excluded, now) -> pick(),
                 endpoint -> Optional.empty(),
-                new RequestLimits(new InstanceId("entry-1"), targets(log), metrics, log),
+                new RequestLimits(new InstanceId("entry-1"), targets(log), System::nanoTime, metrics, log),
                 service -> budget,
                 new CrashMonitor(new RespondingEngines(), channel.eventLoop(), metrics, log),
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -32,12 +32,13 @@
     private static final InstanceId SELF = new InstanceId("entry-1");
     private static final InstanceId TARGET = new InstanceId("target-1");
 
+    private long nowNanos = System.nanoTime();
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
     private final Targets targets =
             new Targets(loops, loops.next(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log);
     private final RequestLimits limits =
-            new RequestLimits(SELF, targets, new GatewayMetrics(new MetricRegistry()), log);
+            new RequestLimits(SELF, targets, () -> nowNanos, new GatewayMetrics(new MetricRegistry()), log);
 
     @AfterEach
     void stopLoops() {
@@ -73,7 +74,7 @@
     void onlyASuccessShowsThatThereIsNoLimitAnyMore() {
         list(5);
         TargetRuntime target = targets.find(TARGET);
-        limits.answered(target, "request-2", head(503, OptionalDouble.of(1)), System.nanoTime());
+        limits.answered(target, "request-2", head(503, OptionalDouble.of(1)), nowNanos);
         limits.answered(target, "request-3", head(500, OptionalDouble.empty()), System.nanoTime());
         assertThat(target.limit().requestsPerSecond().isPresent()).isTrue();
         limits.answered(target, "request-4", head(200, OptionalDouble.empty()), System.nanoTime());
@@ -108,6 +109,18 @@
         assertThat(limits.notices().get(0).requestsPerSecond().isPresent()).isFalse();
     }
 
+    /** Guards against limits that ended long ago and take the place of others in heartbeats. */
+    @Test
+    void endOfALimitIsToldForAWhileOnly() {
+        list(5);
+        limits.answered(targets.find(TARGET), "request-1", head(200, OptionalDouble.of(1)), nowNanos);
+        for (int i = 0; i < 20; i++) {
+            nowNanos += TimeUnit.SECONDS.toNanos(1);
+            limits.answered(targets.find(TARGET), "request-2", head(200, OptionalDouble.empty()), nowNanos);
+            assertThat(limits.notices()).hasSize(i <= 10 ? 1 : 0);
+        }
+    }
+
     private void list(long startedMillis) {
         TargetInstance instance = new TargetInstance(
                 TARGET,
