Take a single failed call to the store for no outage

Cause: any failed call began the grace for targets whose entries may have expired with the store, which is meant to end when the bounds hold again. A lost packet excuses nothing.

The grace now needs two failed calls in a row.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -49,6 +49,12 @@
      */
     private static final Duration REWRITE_TIME = Duration.ofSeconds(1);
 
+    /**
+     * Number of calls that fail one after the other in an outage. A single one may have lost a packet, and the entries of
+     * running targets do not expire within one call.
+     */
+    private static final int OUTAGE_FAILURES = 2;
+
     private final String name;
     private final ObjectFeed<T> feed;
     private final Pace pace;
@@ -64,6 +70,7 @@
     private Freshness freshness = Freshness.NEVER;
     private ClockReading lastFailureStart;
     private boolean isStoreLost;
+    private int failuresInARow;
     private boolean isStopped;
 
     FeedFollower(
@@ -174,8 +181,11 @@
                     .with("version", version)
                     .with("age_ms", ageMillis())
                     .write();
-            listener.storeRegained(lastFailureStart);
+            if (failuresInARow >= OUTAGE_FAILURES) {
+                listener.storeRegained(lastFailureStart);
+            }
         }
+        failuresInARow = 0;
         if (isConfirmation(start, batch, !isWatch)) {
             copyUntilNanos = OptionalLong.empty();
             freshness = Freshness.confirmedAt(start);
@@ -227,6 +237,7 @@
             return;
         }
         lastFailureStart = start;
+        failuresInARow++;
         if (!isStoreLost) {
             isStoreLost = true;
             log.change("store.lost")
@@ -258,7 +269,8 @@
         void changed(FeedBatch<T> batch);
 
         /**
-         * Called when the store responds again after it had failed, before the new batch is passed on.
+         * Called when the store responds again after an outage, before the new batch is passed on. A single failed call is
+         * no outage.
          *
          * @param lastFailureStart start of the last call that failed
          */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -35,6 +35,7 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
+    private int outages;
     private long nowMillis;
 
     /** Guards against one call for each target of a large fleet whose targets start within seconds. */
@@ -102,6 +103,26 @@
         }
     }
 
+    /** Guards against a target that left and gets requests for seconds because one packet of a call was lost. */
+    @Test
+    void singleFailedCallIsNoOutage() {
+        startFollower(PACE);
+        feed.put("first");
+        advance(1_000);
+        feed.failCurrentCall();
+        advance(2_000);
+        feed.put("second");
+        advance(1_000);
+        assertThat(known).containsExactly("first", "second");
+        assertThat(outages).isEqualTo(0);
+
+        feed.becomeSilent();
+        advance(6_000);
+        feed.isSilent = false;
+        advance(2_000);
+        assertThat(outages).isEqualTo(1);
+    }
+
     /** Guards against changes that are never seen because the store came back older and gave their versions out again. */
     @Test
     void changesWhoseVersionsWereGivenOutAgainAreSeen() {
@@ -274,6 +295,12 @@
             return changes.stream().map(FeedEvent::name).collect(Collectors.toSet());
         }
 
+        void failCurrentCall() {
+            CompletableFuture<Either<StoreError, FeedBatch<String>>> failed = openWatch;
+            openWatch = null;
+            failed.complete(Either.left(StoreError.UNAVAILABLE));
+        }
+
         void becomeSilent() {
             isSilent = true;
             isWatchLost = true;
@@ -337,7 +364,9 @@
         }
 
         @Override
-        public void storeRegained(ClockReading lastFailureStart) {}
+        public void storeRegained(ClockReading lastFailureStart) {
+            outages++;
+        }
 
         @Override
         public boolean showsNewWrite(FeedBatch<String> batch, boolean isList) {
