--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -52,18 +52,16 @@
         Entry first = new Entry("entry-1", 1);
         Entry second = new Entry("entry-2", 1);
         first.start();
-        onLoop(() -> {
+        runOnLoop(() -> {
             first.exchange.started(OwnPlacementsTest.notice(1, 400, 1_000));
             first.exchange.started(OwnPlacementsTest.notice(2, 400, 1_000));
             first.exchange.ended(1, 0);
-            return null;
         });
         first.receiveListOf(second);
         second.start();
         second.receiveListOf(first);
-        onLoop(() -> {
+        runOnLoop(() -> {
             second.exchange.heartbeat(0, List.of(), List.of());
-            return null;
         });
         await(() -> !second.receivedNumbers.isEmpty());
         assertThat(second.receivedNumbers).containsExactly(2L);
@@ -80,9 +78,8 @@
         second.start();
         first.receiveListOf(second);
         LimitNotice limit = new LimitNotice(new InstanceId("engine-1"), 7, OptionalDouble.of(2), 100);
-        onLoop(() -> {
+        runOnLoop(() -> {
             first.exchange.heartbeat(0, List.of(), List.of(limit));
-            return null;
         });
         await(() -> !second.receivedLimits.isEmpty());
         assertThat(second.receivedLimits).containsExactly(limit);
@@ -100,23 +97,20 @@
         first.start();
         second.start();
         second.receiveListOf(first);
-        onLoop(() -> {
+        runOnLoop(() -> {
             second.exchange.heartbeat(0, List.of(), List.of());
-            return null;
         });
         await(() -> !first.exchange.heardEntries().isEmpty());
         first.receiveListOf(second);
-        onLoop(() -> {
+        runOnLoop(() -> {
             first.exchange.storeRestored();
             first.exchange.listed(new FeedBatch<>(List.of(), 1));
-            return null;
         });
         assertThat(onLoop(first.exchange::listedEntries).orElseThrow()).containsExactly(new InstanceId("entry-2"));
         assertThat(onLoop(() -> first.unlistedCount)).isEqualTo(1);
 
-        onLoop(() -> {
+        runOnLoop(() -> {
             first.exchange.listed(new FeedBatch<>(List.of(), 2));
-            return null;
         });
         assertThat(onLoop(first.exchange::listedEntries).orElseThrow()).isEmpty();
         first.exchange.stop();
@@ -131,9 +125,8 @@
         first.start();
         second.start();
         second.receiveListOf(first);
-        onLoop(() -> {
+        runOnLoop(() -> {
             second.exchange.heartbeat(Long.MAX_VALUE, List.of(), List.of());
-            return null;
         });
         await(() -> !first.exchange.stateAgesMillis().isEmpty());
         assertThat(onLoop(first.exchange::stateAgesMillis)).containsExactly(Long.MAX_VALUE);
@@ -156,9 +149,8 @@
         }
         await(() -> second.crashes.refusal(parts).isPresent());
 
-        onLoop(() -> {
+        runOnLoop(() -> {
             second.crashes.answered(parts);
-            return null;
         });
         await(() -> first.crashes.refusal(parts).isEmpty());
         first.exchange.stop();
@@ -179,9 +171,8 @@
 
         second.start();
         first.receiveListOf(second);
-        onLoop(() -> {
+        runOnLoop(() -> {
             first.exchange.heartbeat(0, first.crashes.blockedParts(), List.of());
-            return null;
         });
         await(() -> second.crashes.refusal(parts).isPresent());
         first.exchange.stop();
@@ -196,6 +187,10 @@
         }
     }
 
+    private void runOnLoop(Runnable action) throws Exception {
+        loops.submit(action).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     private <T> T onLoop(Supplier<T> action) throws Exception {
         return loops.submit(action::get).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
@@ -245,10 +240,9 @@
         }
 
         void receiveListOf(Entry other) throws Exception {
-            onLoop(() -> {
+            runOnLoop(() -> {
                 exchange.listed(new FeedBatch<>(
                         List.of(new FeedEvent<>(other.record.instance().value(), 1, Optional.of(other.record))), 1));
-                return null;
             });
         }
 
--- a/ports/src/main/java/io/endiveshed/ports/platform/StoreEra.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/StoreEra.java
@@ -6,7 +6,7 @@
  *
  * @param number number of the era, which grows with each restore; not negative
  */
-public record StoreEra(long number) implements Comparable<StoreEra> {
+public record StoreEra(long number) {
     /** Era of a store that names none. */
     public static final StoreEra FIRST = new StoreEra(0);
 
@@ -22,11 +22,6 @@
         return number > other.number;
     }
 
-    @Override
-    public int compareTo(StoreEra other) {
-        return Long.compare(number, other.number);
-    }
-
     @Override
     public String toString() {
         return Long.toString(number);
