--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -71,7 +71,7 @@
         this.sink = sink;
         this.whenFinished = whenFinished;
         this.relay = new ResponseRelay(sink, context.dialect(), request.caller().lastEventId());
-        this.log = new RequestLog(context, request, relay);
+        this.log = new RequestLog(context, request, new RequestTraits(request), relay);
     }
 
     void start() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -7,13 +7,18 @@
 
 /** Writes the log lines and metrics of one request. */
 final class RequestLog {
+    private static final int SUCCESS_STATUS_CLASS = 2;
+    private static final int STATUS_CLASS_SIZE = 100;
+
     private final GatewayContext context;
     private final AdmittedRequest request;
+    private final RequestTraits traits;
     private final ResponseRelay relay;
 
-    RequestLog(GatewayContext context, AdmittedRequest request, ResponseRelay relay) {
+    RequestLog(GatewayContext context, AdmittedRequest request, RequestTraits traits, ResponseRelay relay) {
         this.context = context;
         this.request = request;
+        this.traits = traits;
         this.relay = relay;
     }
 
@@ -56,6 +61,7 @@
                 .with("elapsed_ms", (long) request.elapsedMillis(System.nanoTime()))
                 .with("predicted_ms", (long) assignment.predictedMillis())
                 .with("prompt_parts", promptParts())
+                .with("request_key", traits.key().value())
                 .write();
     }
 
@@ -93,6 +99,7 @@
                 .with("first_ms", (long) firstMillis)
                 .with("prompt_tokens", promptTokens())
                 .with("prompt_parts", promptParts())
+                .with("request_key", isSuccess(status) ? "none" : traits.key().value())
                 .with("max_pause_ms", relay.maxPauseMillis())
                 .with("total_ms", (long) totalMillis)
                 .with("state_version", context.catalog().read().version())
@@ -100,6 +107,10 @@
                 .write();
     }
 
+    private static boolean isSuccess(int status) {
+        return status / STATUS_CLASS_SIZE == SUCCESS_STATUS_CLASS;
+    }
+
     private static String helperAddresses(Assignment assignment) {
         return assignment.helpers().isEmpty()
                 ? "none"
