Attribute crashes of engines to the request that comes again

What callers saw: a prompt that crashes engines came again and again and was sent on; other callers' prompts were refused (prompt_blocked) because they have a part in common with it, for five minutes.

Cause: a prompt was known only by the parts that it shares with others. These are in answers to sound prompts, so that a block took six to eight crashes, ended with each sound answer, and hit the sound prompts.

Change: CrashSuspects (was CrashingParts) attributes crashes to traits: the request itself (digest of account, method, host, path, query and body), its path with any query, and the parts of its prompt. The most specific trait that explains the crashes is blocked, from the third crash on; a trait that different requests share must explain two crashes more than each of them. If a target crashes again after a block has ended, the request is blocked at once and for twice as long. Datagrams name traits (new kinds 5 and 6, which earlier builds ignore). Errors request_blocked and prompt_blocked tell the true end of the block.

--- a/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
+++ b/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
@@ -23,6 +23,8 @@
             503,
             "ask without the document or context that the prompt has in common with those before which engines crashed,"
                     + " or after the time in Retry-After"),
+    REQUEST_BLOCKED(
+            503, "do not repeat this request: targets crash when they run it; ask again after the time in Retry-After"),
     STORE_UNAVAILABLE(503, "ask again after the time in Retry-After; operators: check the platform's object API"),
     STOPPING(503, "ask again; another entry daemon will answer"),
     TARGET_FAILED(502, "ask again if the call may be repeated"),
--- a/coordination/src/main/java/io/endiveshed/coordination/crash/package-info.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/package-info.java
@@ -1,2 +1,2 @@
-/** Attribution of engine crashes to parts of prompts. */
+/** Attribution of crashes of targets to what their requests have in common. */
 package io.endiveshed.coordination.crash;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashListener.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashListener.java
@@ -1,19 +1,19 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
-import io.endiveshed.coordination.crash.BlockedPart;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.TargetCrash;
 import java.util.Set;
 
-/** Receives what other entries find out about engines that crash and the prompts at fault. */
+/** Receives what other entries find out about targets that crash and the requests under which they do. */
 interface CrashListener {
-    /** Called when another entry has seen an engine crash. */
-    void crashedElsewhere(InstanceId entry, EngineCrash crash);
+    /** Called when another entry has seen a target crash. */
+    void crashedElsewhere(InstanceId entry, TargetCrash crash);
 
-    /** Called when a prompt with these parts was answered. */
-    void answeredElsewhere(Set<PromptPartId> parts);
+    /** Called when a request with these traits was answered. */
+    void answeredElsewhere(Set<RequestTrait> traits);
 
-    /** Called with each part that another entry blocks; repeated while it does. */
-    void blockedElsewhere(BlockedPart blocked);
+    /** Called with each trait that another entry blocks; repeated while it does. */
+    void blockedElsewhere(BlockedTrait blocked);
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -3,33 +3,31 @@
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.base.log.EventLog;
-import io.endiveshed.coordination.crash.BlockedPart;
-import io.endiveshed.coordination.crash.CrashingParts;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.CrashSuspects;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.gateway.EngineMemory;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /**
- * Notices engines that crash, shares them with the other entries, and refuses prompts on which they crash. Confined to
- * one event loop.
+ * Notices engines that crash, shares them with the other entries, and refuses requests under which they crash. Confined
+ * to one event loop.
  *
  * <p>An answer that breaks off may have other causes, so the engine is asked for its report; one that answers has not
  * crashed.
  */
 final class CrashMonitor implements CrashListener {
-    private final CrashingParts crashingParts = new CrashingParts();
-    private final Map<TargetRuntime, Set<PromptPartId>> brokenPartsByEngine = new HashMap<>();
+    private final CrashSuspects suspects = new CrashSuspects();
+    private final Map<TargetRuntime, Set<RequestTrait>> brokenTraitsByTarget = new HashMap<>();
     private final EngineMemory engines;
     private final EventLoop loop;
     private final GatewayMetrics metrics;
@@ -48,118 +46,115 @@
         peers = notices;
     }
 
-    /** Records that the answer to a prompt broke off, and finds out whether its engine has crashed. */
-    void attemptBroken(TargetRuntime engine, Collection<PromptPartId> parts) {
-        if (parts.isEmpty()) {
-            return;
-        }
-        Set<PromptPartId> broken = brokenPartsByEngine.get(engine);
+    /** Records that the answer to a request broke off, and finds out whether its engine has crashed. */
+    void attemptBroken(TargetRuntime target, RequestTraits traits) {
+        Set<RequestTrait> broken = brokenTraitsByTarget.get(target);
         if (broken != null) {
-            broken.addAll(parts);
+            broken.addAll(traits.all());
             return;
         }
-        brokenPartsByEngine.put(engine, new HashSet<>(parts));
-        engines.isResponding(engine.client(), engine.instance().id())
-                .thenAccept(isResponding -> loop.execute(() -> checked(engine, isResponding)));
+        brokenTraitsByTarget.put(target, new HashSet<>(traits.all()));
+        engines.isResponding(target.client(), target.instance().id())
+                .thenAccept(isResponding -> loop.execute(() -> checked(target, isResponding)));
     }
 
-    private void checked(TargetRuntime engine, boolean isResponding) {
-        Set<PromptPartId> parts = brokenPartsByEngine.remove(engine);
+    private void checked(TargetRuntime target, boolean isResponding) {
+        Set<RequestTrait> traits = brokenTraitsByTarget.remove(target);
         if (isResponding) {
             return;
         }
-        EngineCrash crash =
-                new EngineCrash(engine.instance().id(), engine.instance().startedMillis(), parts);
+        TargetCrash crash =
+                new TargetCrash(target.instance().id(), target.instance().startedMillis(), traits);
         recordCrash("own", crash);
         peers.crashed(crash);
     }
 
     /** Records a crash, and logs and counts only its first report; each entry with open requests there sends one. */
-    private void recordCrash(String source, EngineCrash crash) {
-        if (!crashingParts.crashed(crash, System.nanoTime())) {
+    private void recordCrash(String source, TargetCrash crash) {
+        long nowNanos = System.nanoTime();
+        if (!suspects.crashed(crash, nowNanos)) {
             return;
         }
-        metrics.count("engine_crashes");
-        log.change("engine.crashed")
-                .with("target", crash.engine())
+        metrics.count("target_crashes");
+        log.change("target.crashed")
+                .with("target", crash.target())
                 .with("started", crash.startedMillis())
                 .with("source", source)
-                .with("prompt_parts", crash.parts().size())
-                .with("unexplained", crashingParts.unexplainedCrashes())
+                .with("traits", crash.traits().size())
+                .with("unexplained", suspects.unexplainedCrashes(nowNanos))
                 .write();
     }
 
-    /** Records a complete answer to a prompt. */
-    void answered(Collection<PromptPartId> parts) {
-        if (parts.isEmpty()) {
-            return;
-        }
-        Set<PromptPartId> cleared = crashingParts.answered(parts, System.nanoTime());
+    /** Records a complete answer to a request. */
+    void answered(RequestTraits traits) {
+        Set<RequestTrait> cleared =
+                suspects.answered(suspects.hasSuspects() ? traits.all() : traits.parts(), System.nanoTime());
         if (!cleared.isEmpty()) {
             peers.answered(cleared);
         }
     }
 
-    /** Returns why a prompt is refused; empty if it may be sent. */
-    Optional<Failure> refusal(Collection<PromptPartId> parts) {
-        if (parts.isEmpty()) {
-            return Optional.empty();
-        }
+    /** Returns why a request is refused; empty if it may be sent. */
+    Optional<Failure> refusal(RequestTraits traits) {
         long nowNanos = System.nanoTime();
         decide(nowNanos);
-        OptionalLong remaining = crashingParts.blockedMillis(parts, nowNanos);
-        if (remaining.isEmpty()) {
+        if (!suspects.isRefusing(nowNanos)) {
             return Optional.empty();
         }
-        metrics.count("prompts_blocked");
-        return Optional.of(Failure.of(ErrorKind.PROMPT_BLOCKED)
-                .message("engines crash on a part of the prompt")
-                .retryAfter(Duration.ofMillis(remaining.getAsLong()))
-                .build());
+        Optional<BlockedTrait> block = suspects.findBlock(traits.all(), nowNanos);
+        block.ifPresent(found -> metrics.count("requests_blocked"));
+        return block.map(CrashMonitor::failure);
+    }
+
+    private static Failure failure(BlockedTrait block) {
+        boolean isPart = block.trait().kind() == RequestTrait.Kind.PROMPT_PART;
+        return Failure.of(isPart ? ErrorKind.PROMPT_BLOCKED : ErrorKind.REQUEST_BLOCKED)
+                .message(
+                        isPart
+                                ? "engines crash on part " + block.trait().value() + " of the prompt"
+                                : "targets crash when they run this request (" + block.trait() + ")")
+                .retryAfter(Duration.ofMillis(block.remainingMillis()))
+                .build();
     }
 
-    /** Returns the blocked parts, to be repeated to the other entries. */
-    List<BlockedPart> blockedParts() {
+    /** Returns the blocked traits, to be repeated to the other entries. */
+    List<BlockedTrait> blocked() {
         long nowNanos = System.nanoTime();
         decide(nowNanos);
-        return crashingParts.blocked(nowNanos);
+        return suspects.blocked(nowNanos);
     }
 
     private void decide(long nowNanos) {
-        for (PromptPartId part : crashingParts.decide(nowNanos)) {
-            logBlocked(part, "own", crashingParts.unexplainedCrashes());
+        for (RequestTrait trait : suspects.decide(nowNanos)) {
+            logBlocked(trait, "own", nowNanos);
         }
     }
 
     @Override
-    public void crashedElsewhere(InstanceId entry, EngineCrash crash) {
+    public void crashedElsewhere(InstanceId entry, TargetCrash crash) {
         recordCrash(entry.value(), crash);
     }
 
     @Override
-    public void answeredElsewhere(Set<PromptPartId> parts) {
-        crashingParts.answered(parts, System.nanoTime());
+    public void answeredElsewhere(Set<RequestTrait> traits) {
+        suspects.answered(traits, System.nanoTime());
     }
 
     @Override
-    public void blockedElsewhere(BlockedPart blocked) {
+    public void blockedElsewhere(BlockedTrait blocked) {
         long nowNanos = System.nanoTime();
-        boolean wasBlocked = isBlocked(blocked.part(), nowNanos);
-        crashingParts.blockedElsewhere(blocked, nowNanos);
-        if (!wasBlocked && isBlocked(blocked.part(), nowNanos)) {
-            logBlocked(blocked.part(), "another entry", crashingParts.unexplainedCrashes());
+        boolean wasBlocked = suspects.isBlocked(blocked.trait(), nowNanos);
+        suspects.blockedElsewhere(blocked, nowNanos);
+        if (!wasBlocked && suspects.isBlocked(blocked.trait(), nowNanos)) {
+            logBlocked(blocked.trait(), "another entry", nowNanos);
         }
     }
 
-    private boolean isBlocked(PromptPartId part, long nowNanos) {
-        return crashingParts.blockedMillis(List.of(part), nowNanos).isPresent();
-    }
-
-    private void logBlocked(PromptPartId part, String source, int unexplained) {
-        log.change("prompt-part.blocked")
-                .with("part", part)
+    private void logBlocked(RequestTrait trait, String source, long nowNanos) {
+        log.change("request.blocked")
+                .with("trait", trait)
                 .with("source", source)
-                .with("unexplained", unexplained)
+                .with("unexplained", suspects.unexplainedCrashes(nowNanos))
                 .write();
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashNotices.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashNotices.java
@@ -1,23 +1,23 @@
 package io.endiveshed.gateway.internal;
 
-import io.endiveshed.base.id.PromptPartId;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.TargetCrash;
 import java.util.Set;
 
-/** Sends what this entry finds out about engines that crash to the other entries. */
+/** Sends what this entry finds out about targets that crash to the other entries. */
 interface CrashNotices {
     /** Notices that reach nobody. */
     CrashNotices NONE = new CrashNotices() {
         @Override
-        public void crashed(EngineCrash crash) {}
+        public void crashed(TargetCrash crash) {}
 
         @Override
-        public void answered(Set<PromptPartId> parts) {}
+        public void answered(Set<RequestTrait> traits) {}
     };
 
-    /** Sends notice of an engine that has crashed. */
-    void crashed(EngineCrash crash);
+    /** Sends notice of a target that has crashed. */
+    void crashed(TargetCrash crash);
 
-    /** Sends notice of an answer to a prompt with parts that crashes had accused. */
-    void answered(Set<PromptPartId> parts);
+    /** Sends notice of an answer to a request with traits that were suspected of crashes. */
+    void answered(Set<RequestTrait> traits);
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.gateway.RequestDialect;
 import io.endiveshed.net.http.ErrorResponses;
@@ -22,13 +23,17 @@
 
     private FailureResponder() {}
 
-    /** Sends a failure; its retry delay is shortened to fit the caller's remaining time in milliseconds. */
+    /**
+     * Sends a failure; its retry delay is shortened to fit the caller's remaining time in milliseconds, unless a retry
+     * within that time would be refused as well.
+     */
     static void send(RequestDialect dialect, ResponseSink sink, Failure failure, double remainingMillis) {
         List<Header> headers = new ArrayList<>();
         headers.add(JSON);
         failure.retryAfter().ifPresent(retryDelay -> {
-            double delayMillis =
-                    Math.min((double) retryDelay.toMillis(), Math.max(0, remainingMillis * MAX_RETRY_DELAY_SHARE));
+            double maxDelayMillis =
+                    isBlock(failure) ? Double.MAX_VALUE : Math.max(0, remainingMillis * MAX_RETRY_DELAY_SHARE);
+            double delayMillis = Math.min((double) retryDelay.toMillis(), maxDelayMillis);
             headers.add(dialect.retryAfterHeader(Duration.ofMillis((long) delayMillis)));
         });
         sink.respond(
@@ -36,4 +41,8 @@
                 headers,
                 ErrorResponses.json(failure).getBytes(StandardCharsets.UTF_8));
     }
+
+    private static boolean isBlock(Failure failure) {
+        return failure.kind() == ErrorKind.REQUEST_BLOCKED || failure.kind() == ErrorKind.PROMPT_BLOCKED;
+    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -51,6 +51,7 @@
     private final Runnable whenFinished;
     private final Set<TargetRuntime> excludedTargets = new HashSet<>();
     private final ResponseRelay relay;
+    private final RequestTraits traits;
     private final RequestLog log;
     private Assignment assignment;
     private TargetResponse response;
@@ -71,7 +72,8 @@
         this.sink = sink;
         this.whenFinished = whenFinished;
         this.relay = new ResponseRelay(sink, context.dialect(), request.caller().lastEventId());
-        this.log = new RequestLog(context, request, new RequestTraits(request), relay);
+        this.traits = new RequestTraits(request);
+        this.log = new RequestLog(context, request, traits, relay);
     }
 
     void start() {
@@ -118,7 +120,7 @@
     private Either<Failure, Assignment> pickTarget(long nowNanos) {
         TargetPicker picker =
                 request.service().engineCosts().isPresent() ? context.enginePicker() : context.plainPicker();
-        Optional<Failure> refusal = context.crashes().refusal(request.caller().sharedParts());
+        Optional<Failure> refusal = context.crashes().refusal(traits);
         if (refusal.isPresent()) {
             return Either.left(refusal.get());
         }
@@ -228,7 +230,7 @@
             return;
         }
         assignment.target().failureHistory().recordSuccess();
-        context.crashes().answered(request.caller().sharedParts());
+        context.crashes().answered(traits);
         from.deliver();
         finish(from.head().status(), "answered");
     }
@@ -313,7 +315,9 @@
             return;
         }
         target.failureHistory().recordFailure();
-        context.crashes().attemptBroken(target, request.caller().sharedParts());
+        if (request.service().engineCosts().isPresent()) {
+            context.crashes().attemptBroken(target, traits);
+        }
         mayHaveRun = true;
         excludedTargets.add(target);
         retryOrElse(() -> fail(failureWithUnknownOutcome(message)), false);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -224,7 +224,7 @@
 
     private void heartbeat() {
         long stateAgeMillis = catalogFollower.ageMillis();
-        peers.heartbeat(stateAgeMillis, crashes.blockedParts(), limits.notices());
+        peers.heartbeat(stateAgeMillis, crashes.blocked(), limits.notices());
         boolean hasStoreContact =
                 stateAgeMillis <= settings.bounds().contactWindow().toMillis();
         limits.setEntries(peers.listedEntries()
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -27,7 +27,7 @@
  * @param targetAt finds the target that listens on an address
  * @param limits limits that targets name
  * @param budgets retry budget of each service
- * @param crashes engines that crash, and the prompts at fault
+ * @param crashes targets that crash, and the requests under which they do
  * @param responseMemory memory of incomplete responses
  * @param metrics counters and histograms
  * @param log structured log
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -1,13 +1,14 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
-import io.endiveshed.coordination.crash.BlockedPart;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.limit.LimitNotice;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -24,17 +25,23 @@
     /** Format number of the datagrams; other formats are ignored, so that entries of two versions can run together. */
     private static final int FORMAT = 2;
 
+    /** Kinds of datagrams; 3 and 4 named only parts of prompts in earlier builds. */
     private static final int HEARTBEAT = 0;
+
     private static final int STARTED = 1;
     private static final int ENDED = 2;
-    private static final int CRASHED = 3;
-    private static final int ANSWERED = 4;
+    private static final int CRASHED = 5;
+    private static final int ANSWERED = 6;
 
     /** Maximum number of engines in one notice: the primary engine and its helpers. */
     private static final int MAX_ENGINES = 17;
 
-    /** Maximum number of prompt parts in one datagram, which keeps it within one packet of a network. */
-    private static final int MAX_PARTS = 64;
+    /** Maximum number of traits in one datagram, which keeps it within about one packet of a network. */
+    private static final int MAX_TRAITS = 64;
+
+    /** Kinds of traits in the order of their numbers in datagrams. */
+    private static final List<RequestTrait.Kind> TRAIT_KINDS =
+            List.of(RequestTrait.Kind.REQUEST, RequestTrait.Kind.PATH, RequestTrait.Kind.PROMPT_PART);
 
     /** Maximum number of limits in one heartbeat, for the same reason. */
     private static final int MAX_LIMITS = 16;
@@ -49,18 +56,15 @@
      *
      * @param sender sender of the heartbeat
      * @param stateAgeMillis age of its desired state in milliseconds
-     * @param blockedParts parts of prompts that it blocks
+     * @param blocked traits of requests that it blocks; those beyond the maximum are left out
      * @param limits limits of targets that it knows, the most important first; those beyond the maximum are left out
      */
     static byte[] heartbeat(
-            PeerIncarnation sender, long stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {
+            PeerIncarnation sender, long stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {
         return pack(sender, HEARTBEAT, packer -> {
             packer.packLong(stateAgeMillis);
-            packer.packArrayHeader(Math.min(MAX_PARTS, blockedParts.size()));
-            for (BlockedPart blocked : blockedParts.subList(0, Math.min(MAX_PARTS, blockedParts.size()))) {
-                packer.packString(blocked.part().value());
-                packer.packLong(blocked.ageMillis());
-            }
+            // Earlier builds expect the parts of prompts that are blocked.
+            packer.packArrayHeader(0);
             packer.packArrayHeader(Math.min(MAX_LIMITS, limits.size()));
             for (LimitNotice limit : limits.subList(0, Math.min(MAX_LIMITS, limits.size()))) {
                 packer.packString(limit.target().value());
@@ -68,31 +72,45 @@
                 packer.packDouble(limit.requestsPerSecond().orElse(NO_LIMIT));
                 packer.packLong(limit.ageMillis());
             }
+            packer.packArrayHeader(Math.min(MAX_TRAITS, blocked.size()));
+            for (BlockedTrait block : blocked.subList(0, Math.min(MAX_TRAITS, blocked.size()))) {
+                packTrait(packer, block.trait());
+                packer.packLong(block.ageMillis());
+                packer.packLong(block.remainingMillis());
+            }
         });
     }
 
-    /** Encodes the crash of an engine. */
-    static byte[] crashed(PeerIncarnation sender, EngineCrash crash) {
+    /** Encodes the crash of a target; the most specific of its traits come first, and those beyond the maximum are left out. */
+    static byte[] crashed(PeerIncarnation sender, TargetCrash crash) {
         return pack(sender, CRASHED, packer -> {
-            packer.packString(crash.engine().value());
+            packer.packString(crash.target().value());
             packer.packLong(crash.startedMillis());
-            packParts(packer, crash.parts());
+            packTraits(packer, crash.traits());
         });
     }
 
-    /** Encodes the parts of a prompt that was answered. */
-    static byte[] answered(PeerIncarnation sender, Set<PromptPartId> parts) {
-        return pack(sender, ANSWERED, packer -> packParts(packer, parts));
+    /** Encodes the traits of a request that was answered. */
+    static byte[] answered(PeerIncarnation sender, Set<RequestTrait> traits) {
+        return pack(sender, ANSWERED, packer -> packTraits(packer, traits));
     }
 
-    private static void packParts(MessageBufferPacker packer, Set<PromptPartId> parts) throws IOException {
-        List<PromptPartId> packed = parts.stream().limit(MAX_PARTS).toList();
+    private static void packTraits(MessageBufferPacker packer, Set<RequestTrait> traits) throws IOException {
+        List<RequestTrait> packed = traits.stream()
+                .sorted(Comparator.comparing(RequestTrait::kind))
+                .limit(MAX_TRAITS)
+                .toList();
         packer.packArrayHeader(packed.size());
-        for (PromptPartId part : packed) {
-            packer.packString(part.value());
+        for (RequestTrait trait : packed) {
+            packTrait(packer, trait);
         }
     }
 
+    private static void packTrait(MessageBufferPacker packer, RequestTrait trait) throws IOException {
+        packer.packInt(TRAIT_KINDS.indexOf(trait.kind()));
+        packer.packString(trait.value());
+    }
+
     /** Encodes the end of a prompt, with the prefill in milliseconds that each of its engines is spared. */
     static byte[] ended(PeerIncarnation sender, long number, double remainingPrefillMillis) {
         return pack(sender, ENDED, packer -> {
@@ -137,7 +155,7 @@
                 case ENDED ->
                     Optional.of(PeerDatagram.ofEnd(sender, new End(unpacker.unpackLong(), unpacker.unpackFloat())));
                 case CRASHED -> Optional.of(PeerDatagram.ofCrash(sender, readCrash(unpacker)));
-                case ANSWERED -> Optional.of(PeerDatagram.ofAnswer(sender, readParts(unpacker)));
+                case ANSWERED -> Optional.of(PeerDatagram.ofAnswer(sender, readTraits(unpacker)));
                 default -> Optional.empty();
             };
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -145,15 +163,25 @@
         }
     }
 
-    /** Reads a heartbeat; those of earlier builds have no age, no blocked parts, or no limits. */
+    /** Reads a heartbeat; those of earlier builds end after any of its fields, and name blocked parts of prompts. */
     private static Heartbeat readHeartbeat(MessageUnpacker unpacker) throws IOException {
         OptionalLong stateAge = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
-        List<BlockedPart> blocked = new ArrayList<>();
-        int count = unpacker.hasNext() ? readPartCount(unpacker) : 0;
+        int blockedParts = unpacker.hasNext() ? readTraitCount(unpacker) : 0;
+        for (int i = 0; i < blockedParts; i++) {
+            unpacker.unpackString();
+            unpacker.unpackLong();
+        }
+        List<LimitNotice> limits = unpacker.hasNext() ? readLimits(unpacker) : List.of();
+        return new Heartbeat(stateAge, unpacker.hasNext() ? readBlocked(unpacker) : List.of(), limits);
+    }
+
+    private static List<BlockedTrait> readBlocked(MessageUnpacker unpacker) throws IOException {
+        int count = readTraitCount(unpacker);
+        List<BlockedTrait> blocked = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            blocked.add(new BlockedPart(new PromptPartId(unpacker.unpackString()), unpacker.unpackLong()));
+            blocked.add(new BlockedTrait(readTrait(unpacker), unpacker.unpackLong(), unpacker.unpackLong()));
         }
-        return new Heartbeat(stateAge, blocked, unpacker.hasNext() ? readLimits(unpacker) : List.of());
+        return blocked;
     }
 
     private static List<LimitNotice> readLimits(MessageUnpacker unpacker) throws IOException {
@@ -175,23 +203,32 @@
         return limits;
     }
 
-    private static EngineCrash readCrash(MessageUnpacker unpacker) throws IOException {
-        return new EngineCrash(new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), readParts(unpacker));
+    private static TargetCrash readCrash(MessageUnpacker unpacker) throws IOException {
+        return new TargetCrash(new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), readTraits(unpacker));
     }
 
-    private static Set<PromptPartId> readParts(MessageUnpacker unpacker) throws IOException {
-        int count = readPartCount(unpacker);
-        Set<PromptPartId> parts = new HashSet<>();
+    private static Set<RequestTrait> readTraits(MessageUnpacker unpacker) throws IOException {
+        int count = readTraitCount(unpacker);
+        Set<RequestTrait> traits = new HashSet<>();
         for (int i = 0; i < count; i++) {
-            parts.add(new PromptPartId(unpacker.unpackString()));
+            traits.add(readTrait(unpacker));
+        }
+        return traits;
+    }
+
+    private static RequestTrait readTrait(MessageUnpacker unpacker) throws IOException {
+        int kind = unpacker.unpackInt();
+        if (kind < 0 || kind >= TRAIT_KINDS.size()) {
+            throw new IllegalArgumentException(
+                    "kinds of traits are 0 to " + (TRAIT_KINDS.size() - 1) + ", not " + kind);
         }
-        return parts;
+        return new RequestTrait(TRAIT_KINDS.get(kind), unpacker.unpackString());
     }
 
-    private static int readPartCount(MessageUnpacker unpacker) throws IOException {
+    private static int readTraitCount(MessageUnpacker unpacker) throws IOException {
         int count = unpacker.unpackArrayHeader();
-        if (count > MAX_PARTS) {
-            throw new IllegalArgumentException("a datagram names at most " + MAX_PARTS + " parts, not " + count);
+        if (count > MAX_TRAITS) {
+            throw new IllegalArgumentException("a datagram names at most " + MAX_TRAITS + " traits, not " + count);
         }
         return count;
     }
@@ -251,10 +288,10 @@
      * State of an entry that it repeats.
      *
      * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
-     * @param blockedParts parts of prompts that the sender blocks
+     * @param blocked traits of requests that the sender blocks
      * @param limits what the sender knows of limits that targets name
      */
-    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {}
+    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {}
 
     /**
      * End of a prompt.
@@ -271,16 +308,16 @@
      * @param heartbeat state of the sender
      * @param started prompt that started
      * @param ended prompt that ended
-     * @param crash engine that crashed
-     * @param answeredParts parts of a prompt that was answered, of which crashes had accused some
+     * @param crash target that crashed
+     * @param answeredTraits traits of a request that was answered, which had been suspected of crashes
      */
     record PeerDatagram(
             PeerIncarnation sender,
             Optional<Heartbeat> heartbeat,
             Optional<PlacementNotice> started,
             Optional<End> ended,
-            Optional<EngineCrash> crash,
-            Set<PromptPartId> answeredParts) {
+            Optional<TargetCrash> crash,
+            Set<RequestTrait> answeredTraits) {
         private static PeerDatagram ofHeartbeat(PeerIncarnation sender, Heartbeat heartbeat) {
             return new PeerDatagram(
                     sender, Optional.of(heartbeat), Optional.empty(), Optional.empty(), Optional.empty(), Set.of());
@@ -296,14 +333,14 @@
                     sender, Optional.empty(), Optional.empty(), Optional.of(ended), Optional.empty(), Set.of());
         }
 
-        private static PeerDatagram ofCrash(PeerIncarnation sender, EngineCrash crash) {
+        private static PeerDatagram ofCrash(PeerIncarnation sender, TargetCrash crash) {
             return new PeerDatagram(
                     sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(crash), Set.of());
         }
 
-        private static PeerDatagram ofAnswer(PeerIncarnation sender, Set<PromptPartId> parts) {
+        private static PeerDatagram ofAnswer(PeerIncarnation sender, Set<RequestTrait> traits) {
             return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), parts);
+                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), traits);
         }
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -1,10 +1,10 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.base.log.EventLog;
-import io.endiveshed.coordination.crash.BlockedPart;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.limit.LimitNotice;
 import io.endiveshed.coordination.service.Endpoint;
@@ -34,9 +34,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Sends notices of the prompts that this entry places, and of engines that crash, to the other entries, and receives
- * theirs. Confined to one event
- * loop.
+ * Sends notices of the prompts that this entry places, and of targets that crash, to the other entries, and receives
+ * theirs. Confined to one event loop.
  *
  * <p>Datagrams may be lost. A lost start makes predictions worse while its request runs, and a lost end is replaced by
  * the predicted end.
@@ -131,11 +130,11 @@
     }
 
     /**
-     * Sends a heartbeat with the age of the own desired state, the blocked parts and the limits of targets to the peers,
+     * Sends a heartbeat with the age of the own desired state, the blocked traits and the limits of targets to the peers,
      * and drops the peers that have sent none for too long.
      */
-    void heartbeat(long stateAgeMillis, List<BlockedPart> blockedParts, List<LimitNotice> limits) {
-        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blockedParts, limits));
+    void heartbeat(long stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {
+        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blocked, limits));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -162,13 +161,13 @@
     }
 
     @Override
-    public void crashed(EngineCrash crash) {
+    public void crashed(TargetCrash crash) {
         sendToAll(PeerCodec.crashed(self, crash));
     }
 
     @Override
-    public void answered(Set<PromptPartId> parts) {
-        sendToAll(PeerCodec.answered(self, parts));
+    public void answered(Set<RequestTrait> traits) {
+        sendToAll(PeerCodec.answered(self, traits));
     }
 
     @Override
@@ -242,8 +241,8 @@
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
         datagram.ended().ifPresent(end -> listener.ended(owner, end.number(), end.remainingPrefillMillis()));
         datagram.crash().ifPresent(crash -> crashListener.crashedElsewhere(sender.instance(), crash));
-        if (!datagram.answeredParts().isEmpty()) {
-            crashListener.answeredElsewhere(datagram.answeredParts());
+        if (!datagram.answeredTraits().isEmpty()) {
+            crashListener.answeredElsewhere(datagram.answeredTraits());
         }
     }
 
@@ -252,7 +251,7 @@
             peer.stateAgeMillis = heartbeat.stateAgeMillis();
             peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
         }
-        heartbeat.blockedParts().forEach(crashListener::blockedElsewhere);
+        heartbeat.blocked().forEach(crashListener::blockedElsewhere);
         heartbeat.limits().forEach(notice -> limitListener.limitObservedElsewhere(entry, notice));
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestTraits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestTraits.java
@@ -43,6 +43,13 @@
         return traits;
     }
 
+    /** Returns the parts of the request's prompt; no digest is computed for them. */
+    List<RequestTrait> parts() {
+        return request.caller().sharedParts().stream()
+                .map(part -> new RequestTrait(RequestTrait.Kind.PROMPT_PART, part.value()))
+                .toList();
+    }
+
     private List<RequestTrait> compute() {
         String account = request.account().map(holder -> holder.id().value()).orElse("");
         String host = request.caller().host();
@@ -59,9 +66,7 @@
         computed.add(new RequestTrait(
                 RequestTrait.Kind.PATH,
                 digest(body, account, host, request.caller().data().path())));
-        request.caller()
-                .sharedParts()
-                .forEach(part -> computed.add(new RequestTrait(RequestTrait.Kind.PROMPT_PART, part.value())));
+        computed.addAll(parts());
         return List.copyOf(computed);
     }
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -3,11 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
-import io.endiveshed.coordination.crash.BlockedPart;
-import io.endiveshed.coordination.crash.EngineCrash;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.RequestTrait.Kind;
+import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.limit.LimitNotice;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -19,14 +21,15 @@
 final class PeerCodecTest {
     private static final PeerCodec.PeerIncarnation SENDER =
             new PeerCodec.PeerIncarnation(new InstanceId("entry-1"), 42);
-    private static final BlockedPart BLOCKED = new BlockedPart(new PromptPartId("5c1e07a2"), 800);
+    private static final BlockedTrait BLOCKED =
+            new BlockedTrait(new RequestTrait(Kind.REQUEST, "Zm9vYmFy_-8x"), 800, 299_200);
     private static final LimitNotice LIMIT =
             new LimitNotice(new InstanceId("a"), 1_779_248_684_829L, OptionalDouble.of(2.5), 300);
     private static final LimitNotice NO_LIMIT = new LimitNotice(new InstanceId("b"), 0, OptionalDouble.empty(), 9_000);
-    private static final EngineCrash CRASH = new EngineCrash(
+    private static final TargetCrash CRASH = new TargetCrash(
             new InstanceId("a"),
             1_779_248_684_829L,
-            Set.of(new PromptPartId("5c1e07a2"), new PromptPartId("91bd3f06")));
+            Set.of(new RequestTrait(Kind.REQUEST, "5c1e07a2"), new RequestTrait(Kind.PROMPT_PART, "91bd3f06")));
     private static final PlacementNotice NOTICE = new PlacementNotice(
             7,
             List.of(new InstanceId("a"), new InstanceId("b")),
@@ -68,11 +71,25 @@
                 PeerCodec.read(PeerCodec.crashed(SENDER, CRASH)).orElseThrow();
         assertThat(crashed.crash()).isEqualTo(Optional.of(CRASH));
         PeerCodec.PeerDatagram answered =
-                PeerCodec.read(PeerCodec.answered(SENDER, CRASH.parts())).orElseThrow();
-        assertThat(answered.answeredParts()).isEqualTo(CRASH.parts());
+                PeerCodec.read(PeerCodec.answered(SENDER, CRASH.traits())).orElseThrow();
+        assertThat(answered.answeredTraits()).isEqualTo(CRASH.traits());
         assertThat(answered.crash()).isEqualTo(Optional.empty());
     }
 
+    /** Guards against the traits of sound requests that displace the request at fault from a full datagram. */
+    @Test
+    void wholeRequestsComeFirstInADatagramThatHasNoRoomForAllTraits() {
+        Set<RequestTrait> traits = new HashSet<>(Set.of(new RequestTrait(Kind.REQUEST, "culprit")));
+        for (int i = 0; i < 100; i++) {
+            traits.add(new RequestTrait(Kind.PROMPT_PART, "part" + i));
+        }
+        PeerCodec.PeerDatagram crashed = PeerCodec.read(
+                        PeerCodec.crashed(SENDER, new TargetCrash(CRASH.target(), 1, traits)))
+                .orElseThrow();
+        assertThat(crashed.crash().orElseThrow().traits()).contains(new RequestTrait(Kind.REQUEST, "culprit"));
+        assertThat(crashed.crash().orElseThrow().traits()).hasSize(64);
+    }
+
     /** Guards against a notice that is decoded from an incomplete datagram. */
     @Test
     void ignoresTruncatedDatagrams() {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -5,7 +5,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.PromptPartId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.limit.LimitNotice;
@@ -134,47 +133,47 @@
         second.exchange.stop();
     }
 
-    /** Guards against an entry that has seen no crash itself and sends a prompt on which engines of others crashed. */
+    /** Guards against an entry that has seen no crash itself and sends a request under which engines of others crashed. */
     @Test
-    void crashesSeenByAnotherEntryBlockPromptsHere() throws Exception {
+    void crashesSeenByAnotherEntryBlockRequestsHere() throws Exception {
         Entry first = new Entry("entry-1", 1);
         Entry second = new Entry("entry-2", 1);
         first.start();
         second.start();
         first.receiveListOf(second);
         second.receiveListOf(first);
-        List<PromptPartId> parts = List.of(new PromptPartId("bad"));
+        RequestTraits traits = RequestTraitsTest.traits("request-1", "ferry", "a.example", "/x/1", "body");
         for (int i = 1; i <= 3; i++) {
-            onLoop(() -> first.breakAttemptOn(parts));
+            onLoop(() -> first.breakAttemptOn(traits));
         }
-        await(() -> second.crashes.refusal(parts).isPresent());
+        await(() -> second.crashes.refusal(traits).isPresent());
 
         runOnLoop(() -> {
-            second.crashes.answered(parts);
+            second.crashes.answered(traits);
         });
-        await(() -> first.crashes.refusal(parts).isEmpty());
+        await(() -> first.crashes.refusal(traits).isEmpty());
         first.exchange.stop();
         second.exchange.stop();
     }
 
     /** Guards against an entry that was restarted and does not know what the others refuse. */
     @Test
-    void blockedPartsAreRepeatedToEntriesThatStartLater() throws Exception {
+    void blocksAreRepeatedToEntriesThatStartLater() throws Exception {
         Entry first = new Entry("entry-1", 1);
         Entry second = new Entry("entry-2", 1);
         first.start();
-        List<PromptPartId> parts = List.of(new PromptPartId("bad"));
+        RequestTraits traits = RequestTraitsTest.traits("request-1", "ferry", "a.example", "/x/1", "body");
         for (int i = 1; i <= 3; i++) {
-            onLoop(() -> first.breakAttemptOn(parts));
+            onLoop(() -> first.breakAttemptOn(traits));
         }
-        await(() -> !first.crashes.blockedParts().isEmpty());
+        await(() -> !first.crashes.blocked().isEmpty());
 
         second.start();
         first.receiveListOf(second);
         runOnLoop(() -> {
-            first.exchange.heartbeat(0, first.crashes.blockedParts(), List.of());
+            first.exchange.heartbeat(0, first.crashes.blocked(), List.of());
         });
-        await(() -> second.crashes.refusal(parts).isPresent());
+        await(() -> second.crashes.refusal(traits).isPresent());
         first.exchange.stop();
         second.exchange.stop();
     }
@@ -223,15 +222,15 @@
             crashes.shareWith(exchange);
         }
 
-        /** Breaks off the answer to a prompt with the given parts by a crash of its engine, a new one each time. */
-        boolean breakAttemptOn(List<PromptPartId> parts) {
+        /** Breaks off the answer to a request by a crash of its engine, a new one each time. */
+        boolean breakAttemptOn(RequestTraits traits) {
             lastEngine++;
             InstanceId id = new InstanceId("engine-" + lastEngine);
             engines.crash(id);
             Endpoint endpoint = new Endpoint("127.0.0.1", 1);
             TargetInstance engine =
                     new TargetInstance(id, new ServiceName("model"), endpoint, new FailureDomain("north"), 8, false, 1);
-            crashes.attemptBroken(new TargetRuntime(engine, new HttpClient(loops, endpoint.socketAddress())), parts);
+            crashes.attemptBroken(new TargetRuntime(engine, new HttpClient(loops, endpoint.socketAddress())), traits);
             return true;
         }
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestTraitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestTraitsTest.java
@@ -70,7 +70,8 @@
         return traits(id, account, host, uri, body).key();
     }
 
-    private static RequestTraits traits(String id, String account, String host, String uri, String body) {
+    /** Returns the traits of a request with one part of a prompt. */
+    static RequestTraits traits(String id, String account, String host, String uri, String body) {
         RouteRule route = RouteRule.builder("stream")
                 .host(host)
                 .pathPrefix("/x/")
