Attribute crashes of plain services, and tell crashes from broken answers

Cause: only prompts were remembered, and only engines can be asked for a report. An engine that was merely cut off from the entry counted as crashed.

Change: after a broken or missing answer CrashDetector connects to the target. One that accepts within a second runs on, one that refuses has crashed. Without a reply (four attempts) nothing is concluded, unless the list then shows another incarnation of the target, or none although it did not announce its shutdown. This holds for targets of all services. The connection stays open for the next request.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -8,35 +8,25 @@
 import io.endiveshed.coordination.crash.CrashSuspects;
 import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
-import io.endiveshed.gateway.EngineMemory;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * Notices engines that crash, shares them with the other entries, and refuses requests under which they crash. Confined
+ * Notices targets that crash, shares them with the other entries, and refuses requests under which they crash. Confined
  * to one event loop.
- *
- * <p>An answer that breaks off may have other causes, so the engine is asked for its report; one that answers has not
- * crashed.
  */
 final class CrashMonitor implements CrashListener {
     private final CrashSuspects suspects = new CrashSuspects();
-    private final Map<TargetRuntime, Set<RequestTrait>> brokenTraitsByTarget = new HashMap<>();
-    private final EngineMemory engines;
-    private final EventLoop loop;
+    private final CrashDetector detector;
     private final GatewayMetrics metrics;
     private final EventLog log;
     private CrashNotices peers = CrashNotices.NONE;
 
-    CrashMonitor(EngineMemory engines, EventLoop loop, GatewayMetrics metrics, EventLog log) {
-        this.engines = engines;
-        this.loop = loop;
+    CrashMonitor(TargetProbe probe, EventLoop loop, GatewayMetrics metrics, EventLog log) {
+        this.detector = new CrashDetector(probe, loop, System::nanoTime, this::targetCrashed);
         this.metrics = metrics;
         this.log = log;
     }
@@ -46,25 +36,17 @@
         peers = notices;
     }
 
-    /** Records that the answer to a request broke off, and finds out whether its engine has crashed. */
+    /** Records that the answer to a request broke off or is missing, and finds out whether its target has crashed. */
     void attemptBroken(TargetRuntime target, RequestTraits traits) {
-        Set<RequestTrait> broken = brokenTraitsByTarget.get(target);
-        if (broken != null) {
-            broken.addAll(traits.all());
-            return;
-        }
-        brokenTraitsByTarget.put(target, new HashSet<>(traits.all()));
-        engines.isResponding(target.client(), target.instance().id())
-                .thenAccept(isResponding -> loop.execute(() -> checked(target, isResponding)));
+        detector.attemptBroken(target, traits.all());
     }
 
-    private void checked(TargetRuntime target, boolean isResponding) {
-        Set<RequestTrait> traits = brokenTraitsByTarget.remove(target);
-        if (isResponding) {
-            return;
-        }
-        TargetCrash crash =
-                new TargetCrash(target.instance().id(), target.instance().startedMillis(), traits);
+    /** Records that a target is no longer listed, or was started again, without an announced shutdown. */
+    void targetGone(TargetRuntime target) {
+        detector.targetGone(target);
+    }
+
+    private void targetCrashed(TargetCrash crash) {
         recordCrash("own", crash);
         peers.crashed(crash);
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -315,9 +315,7 @@
             return;
         }
         target.failureHistory().recordFailure();
-        if (request.service().engineCosts().isPresent()) {
-            context.crashes().attemptBroken(target, traits);
-        }
+        context.crashes().attemptBroken(target, traits);
         mayHaveRun = true;
         excludedTargets.add(target);
         retryOrElse(() -> fail(failureWithUnknownOutcome(message)), false);
@@ -361,6 +359,7 @@
                 "attempt.stalled",
                 "no progress; retrying at " + other.get().target().instance().id());
         stalledTarget.failureHistory().recordNoResponse(System.nanoTime());
+        context.crashes().attemptBroken(stalledTarget, traits);
         mayHaveRun = true;
         cancelExchange();
         endAttempt();
@@ -419,6 +418,9 @@
             return;
         }
         boolean isRunning = exchange != null || mayHaveRun;
+        if (exchange != null) {
+            context.crashes().attemptBroken(assignment.target(), traits);
+        }
         cancelExchange();
         endAttempt();
         mayHaveRun |= isRunning;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -100,15 +100,16 @@
                 settings.instance(),
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
                 System.currentTimeMillis());
+        GatewayMetrics metrics = new GatewayMetrics(registry);
+        this.crashes = new CrashMonitor(target -> target.client().probe(), loop, metrics, log);
         this.targets = new Targets(
                 loops,
                 loop,
                 new HttpClientOptions(CONNECT_TIMEOUT, MAX_CONNECTION_IDLE, KEEP_ALIVE_MARGIN),
                 settings.bounds().contactWindow(),
-                log);
+                log,
+                crashes::targetGone);
         this.backlogs = new EngineBacklogTracker(targets);
-        GatewayMetrics metrics = new GatewayMetrics(registry);
-        this.crashes = new CrashMonitor(ports.engineMemory(), loop, metrics, log);
         this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
@@ -33,6 +34,7 @@
     private final EventLoop loop;
     private final HttpClientOptions clientOptions;
     private final EventLog log;
+    private final Consumer<TargetRuntime> whenGone;
     private final TargetList list;
     private final Map<InstanceId, TargetRuntime> runtimesById = new HashMap<>();
 
@@ -46,18 +48,30 @@
 
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
-    /** Creates an empty set of targets that is updated on the given event loop, one of the loops of the connections. */
+    /**
+     * Creates an empty set of targets.
+     *
+     * @param loops event loops of the connections
+     * @param loop one of them, on which the set is updated
+     * @param clientOptions options of the connections
+     * @param contactWindow time after a failure from which the platform's bounds hold again
+     * @param log structured log
+     * @param whenGone called with each target that is no longer listed, or was started again, without an announced
+     *     shutdown
+     */
     Targets(
             EventLoopGroup loops,
             EventLoop loop,
             HttpClientOptions clientOptions,
             Duration contactWindow,
-            EventLog log) {
+            EventLog log,
+            Consumer<TargetRuntime> whenGone) {
         this.loops = loops;
         this.loop = loop;
         this.list = new TargetList(contactWindow);
         this.clientOptions = clientOptions;
         this.log = log;
+        this.whenGone = whenGone;
     }
 
     /** Returns the targets of a service that may get new requests, in an order that is the same in all entries. */
@@ -179,6 +193,9 @@
         if (runtime.limit().requestsPerSecond().isPresent()) {
             limitsOfMissing.put(TargetIncarnation.of(runtime.instance()), runtime.limit());
         }
+        if (runtime.isUsable()) {
+            whenGone.accept(runtime);
+        }
         runtime.update(runtime.instance(), false);
         runtime.client().stop();
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/EngineBacklogTrackerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/EngineBacklogTrackerTest.java
@@ -33,7 +33,8 @@
             loops.next(),
             new HttpClientOptions(Duration.ofMillis(350), Duration.ofSeconds(4), Duration.ofSeconds(1)),
             Duration.ofSeconds(3),
-            EventLog.to(new PrintStream(new ByteArrayOutputStream())));
+            EventLog.to(new PrintStream(new ByteArrayOutputStream())),
+            gone -> {});
     private final EngineBacklogTracker tracker = new EngineBacklogTracker(targets);
 
     EngineBacklogTrackerTest() {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -113,7 +113,8 @@
     }
 
     private Targets targets(EventLog log) {
-        return new Targets(loops, channel.eventLoop(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log);
+        return new Targets(
+                loops, channel.eventLoop(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log, gone -> {});
     }
 
     private void start() {
@@ -131,7 +132,7 @@
                 endpoint -> Optional.empty(),
                 new RequestLimits(new InstanceId("entry-1"), targets(log), System::nanoTime, metrics, log),
                 service -> budget,
-                new CrashMonitor(new RespondingEngines(), channel.eventLoop(), metrics, log),
+                new CrashMonitor(new ReachableTargets(), channel.eventLoop(), metrics, log),
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
                 metrics,
                 log);
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -12,6 +12,7 @@
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.Reachability;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
 import io.netty.channel.EventLoopGroup;
@@ -198,7 +199,7 @@
         private final EntryRecord record;
         private final PeerExchange exchange;
         private final EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
-        private final RespondingEngines engines = new RespondingEngines();
+        private final ReachableTargets engines = new ReachableTargets();
         private final CrashMonitor crashes =
                 new CrashMonitor(engines, loops.next(), new GatewayMetrics(new MetricRegistry()), log);
         private int lastEngine;
@@ -226,7 +227,7 @@
         boolean breakAttemptOn(RequestTraits traits) {
             lastEngine++;
             InstanceId id = new InstanceId("engine-" + lastEngine);
-            engines.crash(id);
+            engines.set(id, Reachability.REFUSING);
             Endpoint endpoint = new Endpoint("127.0.0.1", 1);
             TargetInstance engine =
                     new TargetInstance(id, new ServiceName("model"), endpoint, new FailureDomain("north"), 8, false, 1);
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ReachableTargets.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ReachableTargets.java
@@ -1,40 +1,30 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.gateway.EngineMemory;
-import io.endiveshed.net.http.HttpClient;
-import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
+import io.endiveshed.net.http.Reachability;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
-/** Engines that grant all memory and answer all reports, except those that have crashed. */
-final class RespondingEngines implements EngineMemory {
-    private final Set<InstanceId> crashed = new HashSet<>();
+/** Targets that accept all connections, except those for which a test sets another result. */
+final class ReachableTargets implements TargetProbe {
+    private final Map<InstanceId, Reachability> results = new HashMap<>();
+    private int probes;
 
-    void crash(InstanceId engine) {
-        crashed.add(engine);
+    void set(InstanceId target, Reachability result) {
+        results.put(target, result);
     }
 
-    @Override
-    public CompletionStage<Boolean> reserve(
-            HttpClient client, InstanceId engine, String id, long tokens, Duration lease) {
-        return isResponding(client, engine);
-    }
-
-    @Override
-    public CompletionStage<Boolean> release(HttpClient client, InstanceId engine, String id) {
-        return isResponding(client, engine);
-    }
-
-    @Override
-    public CompletionStage<Use> use(HttpClient client, InstanceId engine, String id) {
-        return CompletableFuture.completedFuture(crashed.contains(engine) ? Use.UNKNOWN : Use.USED);
+    /** Returns the number of probes so far. */
+    int probes() {
+        return probes;
     }
 
     @Override
-    public CompletionStage<Boolean> isResponding(HttpClient client, InstanceId engine) {
-        return CompletableFuture.completedFuture(!crashed.contains(engine));
+    public CompletionStage<Reachability> probe(TargetRuntime target) {
+        probes++;
+        return CompletableFuture.completedFuture(
+                results.getOrDefault(target.instance().id(), Reachability.ACCEPTING));
     }
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -36,7 +36,7 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
     private final Targets targets =
-            new Targets(loops, loops.next(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log);
+            new Targets(loops, loops.next(), HttpClientOptions.defaults(), Duration.ofSeconds(3), log, gone -> {});
     private final RequestLimits limits =
             new RequestLimits(SELF, targets, () -> nowNanos, new GatewayMetrics(new MetricRegistry()), log);
 
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -9,11 +9,15 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -113,6 +117,28 @@
         return exchange;
     }
 
+    /**
+     * Opens a connection, which later requests may use, to find out whether a process listens on the address. The stage
+     * never completes exceptionally.
+     */
+    public CompletionStage<Reachability> probe() {
+        CompletableFuture<Reachability> result = new CompletableFuture<>();
+        bootstrap.connect().addListener((ChannelFuture connected) -> {
+            if (connected.isSuccess()) {
+                release(connected.channel().pipeline().get(ClientConnection.class));
+                result.complete(Reachability.ACCEPTING);
+            } else {
+                result.complete(isRefusal(connected.cause()) ? Reachability.REFUSING : Reachability.UNKNOWN);
+            }
+        });
+        return result;
+    }
+
+    /** Returns whether an attempt to connect was refused; the exception of a timeout is of a subclass. */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     /** Closes idle connections immediately, and the others after their requests. */
     public void stop() {
         stopped = true;
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -58,6 +58,21 @@
         }
     }
 
+    /** Guards against a process that has ended and counts as running, and the reverse. */
+    @Test
+    void probeTellsARunningProcessFromOneThatHasEnded() throws Exception {
+        InetSocketAddress address;
+        try (RawServer server = new RawServer((socket, input) -> readHead(input))) {
+            address = server.address();
+            assertThat(probe(address)).isEqualTo(Reachability.ACCEPTING);
+        }
+        assertThat(probe(address)).isEqualTo(Reachability.REFUSING);
+    }
+
+    private Reachability probe(InetSocketAddress address) throws Exception {
+        return new HttpClient(loops, address).probe().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /** Guards against a call that has failed because its answer is too long and keeps reading it for ever. */
     @Test
     void connectionOfATooLongAnswerIsClosed() throws Exception {
