--- a/coordination/src/main/java/io/endiveshed/coordination/crash/CrashSuspects.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/CrashSuspects.java
@@ -1,6 +1,6 @@
 package io.endiveshed.coordination.crash;
 
-import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.crash.CrashAttribution.Culprits;
 import io.endiveshed.coordination.crash.RequestTrait.Kind;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
@@ -26,14 +27,13 @@
  *
  * <ul>
  *   <li>a trait is suspected of the crashes since it was last in a complete answer;
- *   <li>a whole request is blocked if it explains enough crashes, and more than any other request of the same crashes;
- *   <li>a trait that different requests share is blocked only if it explains more crashes than each of these requests;
- *   <li>crashes of requests that are blocked make no other request suspect.
+ *   <li>the traits that explain the crashes best are blocked, see {@link CrashAttribution}; requests that explain them
+ *       equally well are all blocked, but only for a short time.
  * </ul>
  *
- * <p>A block ends after some minutes, or as soon as an answer shows that the trait is sound. If the requests crash a
- * target again after it has ended, they are blocked at once and for longer. Entries exchange crashes, answers and blocks,
- * since each sees only its own requests.
+ * <p>A block ends after some minutes, as soon as an answer shows that the trait is sound, or as soon as another request
+ * turns out to explain its crashes. If the requests crash a target again after it has ended, they are blocked at once and
+ * for longer. Entries exchange crashes, answers and blocks, since each sees only its own requests.
  *
  * <pre>{@code
  * suspects.crashed(new TargetCrash(target, startedMillis, traits), nowNanos);
@@ -47,40 +47,28 @@
     /** Maximum number of times that the duration of a block is doubled, which makes it almost a day. */
     private static final int MAX_DOUBLINGS = 8;
 
-    /** Crashes that block a request, or a part of prompts that was in no answer; two may be a coincidence. */
-    private static final int MIN_CRASHES = 3;
-
-    /** Crashes that block a part which was in an answer before; sound parts of many prompts are suspected often. */
-    private static final int MIN_CRASHES_AFTER_ANSWER = 6;
-
-    /**
-     * Crashes by which a trait that different requests share must exceed each of these requests. Otherwise the crashes of
-     * one request would block others that have a part in common with it.
-     */
-    private static final int MIN_CRASHES_BEYOND_REQUEST = 2;
-
-    /** Crashes up to which a decision between requests of the same crashes is put off; the next one may tell them apart. */
-    private static final int MAX_CRASHES_OF_REQUEST_TIE = 5;
-
-    /** The same for parts of prompts, of which more requests are affected by a wrong decision. */
-    private static final int MAX_CRASHES_OF_PART_TIE = 8;
-
-    /** Share of the unexplained crashes that a part must explain; other targets may crash for another reason. */
-    private static final double MIN_EXPLAINED_SHARE = 0.5;
+    /** Duration in milliseconds of a block of requests of the same crashes, of which only some may be at fault. */
+    private static final long AMBIGUOUS_BLOCK_MILLIS = 60_000;
 
     /** Time in milliseconds after a crash in which the reports of other entries arrive, before it counts. */
     private static final long SETTLE_MILLIS = 100;
 
     /** Time in milliseconds for which a crash is remembered, and longer if a block needs it. */
-    private static final long WINDOW_MILLIS = 600_000;
+    static final long WINDOW_MILLIS = 600_000;
 
     private static final int MAX_CRASHES = 256;
     private static final int MAX_TRAITS_PER_CRASH = 128;
     /** Maximum number of blocks; the remembered crashes can cause fewer, as each block explains crashes of its own. */
     private static final int MAX_BLOCKS = 256;
 
+    /**
+     * Time in milliseconds for which a block of another entry holds after the last heartbeat that named it. The entry may
+     * have lifted it.
+     */
+    private static final long MAX_FOREIGN_BLOCK_MILLIS = 5_000;
+
     /** Number of traits of which the last answer is remembered, the latest ones. */
-    private static final int MAX_ANSWERED_TRAITS = 4_096;
+    private static final int MAX_ANSWERED_TRAITS = 8_192;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -88,14 +76,28 @@
     private final Map<RequestTrait, Long> answeredNanos = new BoundedMap<>(MAX_ANSWERED_TRAITS);
     private final Map<RequestTrait, Block> blocks = new BoundedMap<>(MAX_BLOCKS);
     private OptionalLong nextDecisionNanos = OptionalLong.empty();
+    private Culprits likelyCulprits = Culprits.NONE;
+    private boolean areCulpritsOutdated;
+    private boolean isAnyPromptAnswered;
 
-    /** Records a crash and returns whether it was unknown; reports of the same crash by several entries are merged. */
+    /** Records a crash of this moment; see {@link #crashed(TargetCrash, long, long)}. */
     public boolean crashed(TargetCrash report, long nowNanos) {
+        return crashed(report, nowNanos, nowNanos);
+    }
+
+    /**
+     * Records a crash and returns whether it was unknown; reports of the same crash by several entries are merged.
+     *
+     * @param report the crash
+     * @param atNanos time at which it was seen
+     * @param nowNanos current time
+     */
+    public boolean crashed(TargetCrash report, long atNanos, long nowNanos) {
         removeExpired(nowNanos);
-        TargetStart start = new TargetStart(report.target(), report.startedMillis());
+        TargetStart start = TargetStart.of(report);
         boolean isNew = !crashes.containsKey(start);
-        Crash crash = crashes.computeIfAbsent(start, key -> new Crash(nowNanos));
-        for (RequestTrait trait : report.traits()) {
+        Crash crash = crashes.computeIfAbsent(start, key -> new Crash(atNanos));
+        for (RequestTrait trait : new TreeSet<>(report.traits())) {
             Long answered = answeredNanos.get(trait);
             boolean isSuspect = answered == null || crash.atNanos - answered > 0;
             if (isSuspect && crash.suspects.size() < MAX_TRAITS_PER_CRASH) {
@@ -105,6 +107,7 @@
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(crashes.keySet().iterator().next());
         }
+        areCulpritsOutdated = true;
         if (nextDecisionNanos.isEmpty()) {
             nextDecisionNanos = OptionalLong.of(nowNanos + SETTLE_MILLIS * NANOS_PER_MILLI);
         }
@@ -117,42 +120,68 @@
     }
 
     /**
-     * Records a complete answer to a request, which shows that its traits are sound.
+     * Records a complete answer to a request, which shows that its traits are not to blame for earlier crashes.
      *
+     * @param traits traits of the request
+     * @param atNanos time of the answer
      * @return the traits that were suspected or blocked; other entries should know of their answer
      */
-    public Set<RequestTrait> answered(Collection<RequestTrait> traits, long nowNanos) {
+    public Set<RequestTrait> answered(Collection<RequestTrait> traits, long atNanos) {
         Set<RequestTrait> cleared = new HashSet<>();
         for (RequestTrait trait : traits) {
-            boolean wasSuspect = blocks.remove(trait) != null;
+            Block block = blocks.get(trait);
+            boolean wasSuspect = block != null && atNanos - block.sinceNanos >= 0 && blocks.remove(trait) != null;
             for (Crash crash : crashes.values()) {
-                wasSuspect |= crash.suspects.remove(trait);
+                wasSuspect |= atNanos - crash.atNanos >= 0 && crash.suspects.remove(trait);
             }
             if (wasSuspect) {
                 cleared.add(trait);
             }
-            // A part counts as answered for good, a single request only for reports of crashes that are still on the
-            // way.
-            if (wasSuspect || trait.kind() == Kind.PROMPT_PART) {
-                answeredNanos.remove(trait);
-                answeredNanos.put(trait, nowNanos);
-            }
+            isAnyPromptAnswered |= trait.kind() == Kind.PROMPT_PART;
+            Long before = answeredNanos.remove(trait);
+            answeredNanos.put(trait, before == null || atNanos - before > 0 ? atNanos : before);
         }
+        areCulpritsOutdated |= !cleared.isEmpty();
         if (!cleared.isEmpty() && nextDecisionNanos.isEmpty()) {
             // Traits that were suspected equally may have been told apart.
-            nextDecisionNanos = OptionalLong.of(nowNanos);
+            nextDecisionNanos = OptionalLong.of(atNanos);
         }
         return cleared;
     }
 
-    /** Records that another entry blocks a trait, unless the trait was in an answer since. */
+    /** Records answers to other entries, which may be older than the crashes of which their traits are suspected. */
+    public void answeredElsewhere(Collection<AnsweredTrait> answers, long nowNanos) {
+        for (AnsweredTrait answer : answers) {
+            answered(List.of(answer.trait()), nowNanos - Math.max(0, answer.ageMillis()) * NANOS_PER_MILLI);
+        }
+    }
+
+    /**
+     * Returns those traits that were answered to this entry before they became suspect of two crashes or more. Entries that
+     * have not seen an answer would block them after fewer crashes.
+     */
+    public List<AnsweredTrait> answersBeforeCrashes(Collection<RequestTrait> traits, long nowNanos) {
+        return traits.stream()
+                .filter(trait -> trait.kind() != Kind.PROMPT_PART
+                        && answeredNanos.containsKey(trait)
+                        && suspectedCrashes(trait) > 1)
+                .map(trait -> new AnsweredTrait(trait, (nowNanos - answeredNanos.get(trait)) / NANOS_PER_MILLI))
+                .toList();
+    }
+
+    /** Records that another entry blocks a trait, unless the trait was in an answer since or does not explain crashes. */
     public void blockedElsewhere(BlockedTrait blocked, long nowNanos) {
         long sinceNanos = nowNanos - Math.max(0, blocked.ageMillis()) * NANOS_PER_MILLI;
         Long answered = answeredNanos.get(blocked.trait());
-        boolean isRefuted = answered != null && answered - sinceNanos >= 0;
-        long untilNanos = nowNanos + Math.min(blocked.remainingMillis(), maxBlockMillis()) * NANOS_PER_MILLI;
-        if (!isRefuted && blocked.remainingMillis() > 0 && !isBlocked(blocked.trait(), nowNanos)) {
-            blocks.put(blocked.trait(), new Block(sinceNanos, untilNanos, doublings(blocked.trait())));
+        // A part that most prompts share is in most crashes; an entry that has seen answers to it knows better.
+        boolean isKnownSound = blocked.trait().kind() == Kind.PROMPT_PART && answered != null;
+        boolean isRefuted = isKnownSound || (answered != null && answered - sinceNanos >= 0);
+        long untilNanos = nowNanos + Math.min(blocked.remainingMillis(), MAX_FOREIGN_BLOCK_MILLIS) * NANOS_PER_MILLI;
+        Block known = blocks.get(blocked.trait());
+        boolean isLonger = known == null || untilNanos - known.untilNanos > 0;
+        if (!isRefuted && isLonger && blocked.remainingMillis() > 0 && !isOutdone(blocked.trait())) {
+            int doublings = known == null ? 0 : known.doublings;
+            blocks.put(blocked.trait(), new Block(sinceNanos, untilNanos, doublings, Source.OTHER_ENTRY));
         }
     }
 
@@ -164,7 +193,7 @@
 
     /**
      * Returns the trait because of which a request is refused, with the time for which it is; empty if the request may be
-     * sent. A request is also refused while it is being decided whether targets crash under one of its traits.
+     * sent. While a decision is pending, requests that it will probably block are refused as well.
      */
     public Optional<BlockedTrait> findBlock(Collection<RequestTrait> traits, long nowNanos) {
         removeExpired(nowNanos);
@@ -172,11 +201,11 @@
                 .filter(trait -> isBlocked(trait, nowNanos))
                 .map(trait -> blocks.get(trait).describe(trait, nowNanos))
                 .max(Comparator.comparingLong(BlockedTrait::remainingMillis));
-        if (longest.isPresent() || nextDecisionNanos.isEmpty() || crashes.size() < MIN_CRASHES) {
+        if (longest.isPresent() || nextDecisionNanos.isEmpty() || crashes.size() < CrashAttribution.MIN_CRASHES) {
             return longest;
         }
         return traits.stream()
-                .filter(trait -> mayBeBlockedSoon(trait, nowNanos))
+                .filter(trait -> likelyCulprits().contains(trait) && isHeldBack(trait))
                 .findFirst()
                 .map(trait -> new BlockedTrait(trait, 0, SETTLE_MILLIS));
     }
@@ -199,18 +228,19 @@
         return blocked;
     }
 
-    /** Blocks the traits that explain the crashes which were recorded long enough ago, and returns them. */
+    /**
+     * Blocks the traits that explain the crashes which were recorded long enough ago, and returns them. Lifts blocks of
+     * traits whose crashes others explain.
+     */
     public List<RequestTrait> decide(long nowNanos) {
         if (nextDecisionNanos.isEmpty() || nowNanos - nextDecisionNanos.getAsLong() < 0) {
             return List.of();
         }
+        Culprits culprits = findCulprits(settledCrashes(nowNanos));
         List<RequestTrait> newlyBlocked = new ArrayList<>();
-        for (List<RequestTrait> found = findCulprits(nowNanos); !found.isEmpty(); found = findCulprits(nowNanos)) {
-            for (RequestTrait trait : found) {
-                block(trait, nowNanos);
-                newlyBlocked.add(trait);
-            }
-        }
+        culprits.certain().forEach(trait -> block(trait, Source.CERTAIN, nowNanos, newlyBlocked));
+        culprits.ambiguous().forEach(trait -> block(trait, Source.AMBIGUOUS, nowNanos, newlyBlocked));
+        blocks.keySet().removeIf(trait -> !culprits.contains(trait) && isOutdone(trait));
         nextDecisionNanos = crashes.values().stream()
                 .mapToLong(crash -> crash.atNanos + SETTLE_MILLIS * NANOS_PER_MILLI)
                 .filter(settled -> settled - nowNanos > 0)
@@ -218,148 +248,101 @@
         return newlyBlocked;
     }
 
-    /** Returns the number of remembered crashes that no blocked trait explains. */
-    public int unexplainedCrashes(long nowNanos) {
-        return (int) crashes.values().stream()
-                .filter(crash -> !isExplained(crash, Kind.REQUEST, nowNanos))
-                .count();
+    /** Returns the traits that are suspected of a crash; empty if the crash is not remembered. */
+    Set<RequestTrait> suspectsOf(TargetStart start) {
+        Crash crash = crashes.get(start);
+        return crash == null ? Set.of() : crash.suspects;
     }
 
-    private void block(RequestTrait trait, long nowNanos) {
-        int doublings = doublings(trait);
-        long durationMillis = BLOCK_MILLIS << doublings;
-        blocks.remove(trait);
-        blocks.put(trait, new Block(nowNanos, nowNanos + durationMillis * NANOS_PER_MILLI, doublings));
+    /** Returns the time in nanoseconds of the last answer to a request with the trait, as far as it is remembered. */
+    OptionalLong answeredNanos(RequestTrait trait) {
+        Long answered = answeredNanos.get(trait);
+        return answered == null ? OptionalLong.empty() : OptionalLong.of(answered);
     }
 
-    private int doublings(RequestTrait trait) {
-        Block former = blocks.get(trait);
-        return former == null ? 0 : Math.min(MAX_DOUBLINGS, former.doublings + 1);
+    /** Returns the number of remembered crashes of which a trait is suspected. */
+    int suspectedCrashes(RequestTrait trait) {
+        return suspectedCrashesOf(trait).size();
     }
 
-    private static long maxBlockMillis() {
-        return BLOCK_MILLIS << MAX_DOUBLINGS;
+    /** Returns the number of remembered crashes that no blocked trait explains. */
+    public int unexplainedCrashes(long nowNanos) {
+        return (int) crashes.values().stream()
+                .filter(crash -> crash.suspects.stream().noneMatch(trait -> isBlocked(trait, nowNanos)))
+                .count();
     }
 
-    private List<RequestTrait> findCulprits(long nowNanos) {
-        List<RequestTrait> requests = findRequests(Kind.REQUEST, nowNanos);
-        if (!requests.isEmpty()) {
-            return requests;
+    /** Blocks a trait, unless it is blocked as surely already, or no target has crashed since its last block. */
+    private void block(RequestTrait trait, Source source, long nowNanos, List<RequestTrait> newlyBlocked) {
+        Block former = blocks.get(trait);
+        boolean isAsSure = former != null && former.source.compareTo(source) >= 0;
+        if (isAsSure && (former.isActive(nowNanos) || !hasCrashSince(trait, former.sinceNanos))) {
+            return;
         }
-        List<RequestTrait> paths = findRequests(Kind.PATH, nowNanos);
-        return paths.isEmpty() ? findParts(nowNanos) : paths;
+        if (!isBlocked(trait, nowNanos)) {
+            newlyBlocked.add(trait);
+        }
+        boolean isRepeated = former != null && former.source == Source.CERTAIN;
+        int doublings = isRepeated ? Math.min(MAX_DOUBLINGS, former.doublings + 1) : 0;
+        long durationMillis = source == Source.AMBIGUOUS ? AMBIGUOUS_BLOCK_MILLIS : BLOCK_MILLIS << doublings;
+        blocks.remove(trait);
+        blocks.put(trait, new Block(nowNanos, nowNanos + durationMillis * NANOS_PER_MILLI, doublings, source));
     }
 
-    /**
-     * Returns requests that explain enough crashes, and more than any other request of the same crashes. Between equal
-     * ones the decision waits for more crashes, up to a maximum.
-     */
-    private List<RequestTrait> findRequests(Kind kind, long nowNanos) {
-        Map<RequestTrait, Set<Crash>> suspected = suspected(kind, nowNanos);
-        suspected.values().removeIf(explained -> explained.size() < MIN_CRASHES);
-        List<RequestTrait> culprits = new ArrayList<>();
-        suspected.forEach((trait, explained) -> {
-            boolean isOutdone = suspected.entrySet().stream()
-                    .anyMatch(other -> !other.getKey().equals(trait)
-                            && isAtLeastAsSuspect(other.getValue(), explained)
-                            && (other.getValue().size() > explained.size()
-                                    || explained.size() < MAX_CRASHES_OF_REQUEST_TIE));
-            if (!isOutdone && exceedsMoreSpecific(trait, explained)) {
-                culprits.add(trait);
-            }
-        });
-        return culprits;
+    private boolean hasCrashSince(RequestTrait trait, long sinceNanos) {
+        return suspectedCrashesOf(trait).stream().anyMatch(crash -> crash.atNanos - sinceNanos > 0);
     }
 
-    /** Returns whether a trait with the first set of crashes may explain crashes of the second set instead. */
-    private static boolean isAtLeastAsSuspect(Set<Crash> other, Set<Crash> explained) {
-        return other.size() >= explained.size() && explained.stream().anyMatch(other::contains);
+    private List<Set<RequestTrait>> settledCrashes(long nowNanos) {
+        return crashes.values().stream()
+                .filter(crash -> nowNanos - crash.atNanos >= SETTLE_MILLIS * NANOS_PER_MILLI)
+                .map(crash -> crash.suspects)
+                .toList();
     }
 
-    private List<RequestTrait> findParts(long nowNanos) {
-        Map<RequestTrait, Set<Crash>> suspected = suspected(Kind.PROMPT_PART, nowNanos);
-        long unexplained = crashes.values().stream()
-                .filter(crash -> counts(crash, Kind.PROMPT_PART, nowNanos))
-                .count();
-        int most = 0;
-        List<RequestTrait> culprits = new ArrayList<>();
-        for (Map.Entry<RequestTrait, Set<Crash>> entry : suspected.entrySet()) {
-            int needed = answeredNanos.containsKey(entry.getKey()) ? MIN_CRASHES_AFTER_ANSWER : MIN_CRASHES;
-            int count = entry.getValue().size();
-            if (count < needed
-                    || count < unexplained * MIN_EXPLAINED_SHARE
-                    || count < most
-                    || !exceedsMoreSpecific(entry.getKey(), entry.getValue())) {
-                continue;
-            }
-            if (count > most) {
-                most = count;
-                culprits.clear();
-            }
-            culprits.add(entry.getKey());
-        }
-        // A part that was never in an answer is at fault rather than one that was.
-        if (culprits.stream().anyMatch(part -> !answeredNanos.containsKey(part))) {
-            culprits.removeIf(answeredNanos::containsKey);
-        }
-        return culprits.size() > 1 && most < MAX_CRASHES_OF_PART_TIE ? List.of() : culprits;
+    private Culprits findCulprits(List<Set<RequestTrait>> suspectsOfCrashes) {
+        return CrashAttribution.find(
+                suspectsOfCrashes, answeredNanos::containsKey, isAnyPromptAnswered, blocks::containsKey);
     }
 
-    /** Returns whether a trait explains clearly more crashes than each more specific trait of the same requests. */
-    private static boolean exceedsMoreSpecific(RequestTrait trait, Set<Crash> explained) {
-        Map<RequestTrait, Integer> counts = new HashMap<>();
-        for (Crash crash : explained) {
-            for (RequestTrait other : crash.suspects) {
-                if (other.kind().compareTo(trait.kind()) < 0) {
-                    counts.merge(other, 1, Integer::sum);
-                }
-            }
+    /** Returns the traits that will be blocked unless reports of other entries change that. */
+    private Culprits likelyCulprits() {
+        if (areCulpritsOutdated) {
+            likelyCulprits = findCulprits(
+                    crashes.values().stream().map(crash -> crash.suspects).toList());
+            areCulpritsOutdated = false;
         }
-        int most = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
-        return most == 0 || explained.size() >= most + MIN_CRASHES_BEYOND_REQUEST;
+        return likelyCulprits;
     }
 
-    /** Returns the suspected traits of one kind with the crashes that each of them would explain. */
-    private Map<RequestTrait, Set<Crash>> suspected(Kind kind, long nowNanos) {
-        Map<RequestTrait, Set<Crash>> suspected = new HashMap<>();
-        for (Crash crash : crashes.values()) {
-            if (!counts(crash, kind, nowNanos)) {
-                continue;
-            }
-            for (RequestTrait trait : crash.suspects) {
-                if (trait.kind() == kind) {
-                    suspected.computeIfAbsent(trait, key -> new HashSet<>()).add(crash);
-                }
-            }
-        }
-        return suspected;
+    /**
+     * Returns whether requests with a likely culprit wait for the decision. A whole request waits only after one crash
+     * more than a block needs, because sound requests of the same crashes are being retried meanwhile.
+     */
+    private boolean isHeldBack(RequestTrait trait) {
+        return trait.kind() == Kind.PROMPT_PART
+                ? !answeredNanos.containsKey(trait)
+                : suspectedCrashes(trait) > CrashAttribution.MIN_CRASHES;
     }
 
-    /** Returns whether a crash has been reported by all entries, and is not explained by a block of the kind. */
-    private boolean counts(Crash crash, Kind kind, long nowNanos) {
-        return nowNanos - crash.atNanos >= SETTLE_MILLIS * NANOS_PER_MILLI && !isExplained(crash, kind, nowNanos);
+    /**
+     * Returns whether another trait of the same kind and of more crashes explains so many crashes of a trait that it would
+     * not be blocked.
+     */
+    private boolean isOutdone(RequestTrait trait) {
+        Set<Crash> own = suspectedCrashesOf(trait);
+        Map<RequestTrait, Integer> shared = new HashMap<>();
+        own.forEach(crash -> crash.suspects.forEach(other -> shared.merge(other, 1, Integer::sum)));
+        return shared.entrySet().stream()
+                .anyMatch(other -> other.getKey().kind() == trait.kind()
+                        && suspectedCrashes(other.getKey()) > own.size()
+                        && own.size() - other.getValue() < CrashAttribution.MIN_CRASHES);
     }
 
-    /** Returns whether a trait would explain enough crashes if those counted that other entries may still report. */
-    private boolean mayBeBlockedSoon(RequestTrait trait, long nowNanos) {
-        if (isKnownSound(trait)) {
-            return false;
-        }
-        Set<Crash> explained = crashes.values().stream()
-                .filter(crash -> crash.suspects.contains(trait) && !isExplained(crash, trait.kind(), nowNanos))
+    private Set<Crash> suspectedCrashesOf(RequestTrait trait) {
+        return crashes.values().stream()
+                .filter(crash -> crash.suspects.contains(trait))
                 .collect(Collectors.toSet());
-        return explained.size() >= MIN_CRASHES && exceedsMoreSpecific(trait, explained);
-    }
-
-    /** Returns whether a blocked trait of the given kind or of a less specific one explains a crash. */
-    private boolean isExplained(Crash crash, Kind kind, long nowNanos) {
-        return crash.suspects.stream()
-                .anyMatch(trait -> trait.kind().compareTo(kind) >= 0 && isBlocked(trait, nowNanos));
-    }
-
-    /** Returns whether a part was in an answer; a crash is then no reason to hold its prompts back. */
-    private boolean isKnownSound(RequestTrait trait) {
-        return trait.kind() == Kind.PROMPT_PART && answeredNanos.containsKey(trait);
     }
 
     private void removeExpired(long nowNanos) {
@@ -370,18 +353,10 @@
                         && crash.suspects.stream().noneMatch(blocks::containsKey));
     }
 
-    /**
-     * One process lifetime of a target.
-     *
-     * @param target id of the target
-     * @param startedMillis Unix time of its start in milliseconds
-     */
-    private record TargetStart(InstanceId target, long startedMillis) {}
-
     /** Crash with the traits that are suspected of it. */
     private static final class Crash {
         private final long atNanos;
-        private final Set<RequestTrait> suspects = new HashSet<>();
+        private final Set<RequestTrait> suspects = new TreeSet<>();
 
         private Crash(long atNanos) {
             this.atNanos = atNanos;
@@ -394,8 +369,9 @@
      * @param sinceNanos time in nanoseconds at which it was blocked
      * @param untilNanos time in nanoseconds at which the block ends
      * @param doublings number of times that the duration has been doubled
+     * @param source how the block came about
      */
-    private record Block(long sinceNanos, long untilNanos, int doublings) {
+    private record Block(long sinceNanos, long untilNanos, int doublings, Source source) {
         private boolean isActive(long nowNanos) {
             return untilNanos - nowNanos > 0;
         }
@@ -406,6 +382,18 @@
         }
     }
 
+    /** Sources of blocks, the surest last. */
+    private enum Source {
+        /** Another entry blocks the trait. */
+        OTHER_ENTRY,
+
+        /** The crashes may as well be those of other requests. */
+        AMBIGUOUS,
+
+        /** The trait explains the crashes better than all others. */
+        CERTAIN
+    }
+
     /** Map that drops its oldest entry when it is full. */
     private static final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
         private static final long serialVersionUID = 1;
--- a/coordination/src/main/java/io/endiveshed/coordination/crash/RequestTrait.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/RequestTrait.java
@@ -8,7 +8,7 @@
  * @param kind what the requests have in common
  * @param value digest or id that requests with the trait share; 1 to 128 characters
  */
-public record RequestTrait(Kind kind, String value) {
+public record RequestTrait(Kind kind, String value) implements Comparable<RequestTrait> {
     private static final int MAX_LENGTH = 128;
 
     /** Throws {@link IllegalArgumentException} if the value is empty or too long. */
@@ -19,6 +19,13 @@
         }
     }
 
+    /** Orders the most specific traits first. */
+    @Override
+    public int compareTo(RequestTrait other) {
+        int byKind = kind.compareTo(other.kind);
+        return byKind == 0 ? value.compareTo(other.value) : byKind;
+    }
+
     @Override
     public String toString() {
         return kind.name().toLowerCase(Locale.ROOT) + ":" + value;
--- a/gateway/src/main/java/io/endiveshed/gateway/PlatformPorts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/PlatformPorts.java
@@ -10,10 +10,12 @@
  * @param catalog desired state; the newest object contains all of it
  * @param targets list of targets
  * @param entries list of entries
+ * @param crashes crashes of targets that entries have stored
  * @param engineMemory memory reservations on engines
  */
 public record PlatformPorts(
         ObjectFeed<ServiceCatalog> catalog,
         ObjectFeed<TargetInstance> targets,
         EntryRegistry entries,
+        CrashRegistry crashes,
         EngineMemory engineMemory) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -4,28 +4,55 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.crash.AnsweredTrait;
 import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.CrashRecord;
+import io.endiveshed.coordination.crash.CrashRecords;
 import io.endiveshed.coordination.crash.CrashSuspects;
 import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
+import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.gateway.CrashRegistry;
+import io.endiveshed.ports.platform.FeedBatch;
+import io.endiveshed.ports.platform.StoreError;
 import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
- * Notices targets that crash, shares them with the other entries, and refuses requests under which they crash. Confined
- * to one event loop.
+ * Notices targets that crash, shares them with the other entries by datagrams and through the store, and refuses requests
+ * under which they crash. Confined to one event loop.
  */
-final class CrashMonitor implements CrashListener {
+final class CrashMonitor implements CrashListener, FeedFollower.Listener<CrashRecord> {
+    /** Maximum number of entries, on average, that tell the others of an answer which all of them may have seen. */
+    private static final double MAX_TELLING_ENTRIES = 8;
+
     private final CrashSuspects suspects = new CrashSuspects();
+    private final CrashRecords records;
+    private final CrashRegistry registry;
     private final CrashDetector detector;
+    private final EventLoop loop;
     private final GatewayMetrics metrics;
     private final EventLog log;
     private CrashNotices peers = CrashNotices.NONE;
-
-    CrashMonitor(TargetProbe probe, EventLoop loop, GatewayMetrics metrics, EventLog log) {
+    private int peerCount;
+    private boolean isListed;
+    private boolean isWriting;
+
+    CrashMonitor(
+            InstanceId self,
+            TargetProbe probe,
+            CrashRegistry registry,
+            EventLoop loop,
+            GatewayMetrics metrics,
+            EventLog log) {
+        this.records = new CrashRecords(self, suspects);
+        this.registry = registry;
+        this.loop = loop;
         this.detector = new CrashDetector(probe, loop, System::nanoTime, this::targetCrashed);
         this.metrics = metrics;
         this.log = log;
@@ -48,7 +75,18 @@
 
     private void targetCrashed(TargetCrash crash) {
         recordCrash("own", crash);
+        records.observed(crash, System.currentTimeMillis());
         peers.crashed(crash);
+        tellEarlierAnswers(crash);
+    }
+
+    /** Tells the other entries of answers before a crash; some of those that know of one are enough. */
+    private void tellEarlierAnswers(TargetCrash crash) {
+        List<AnsweredTrait> answers = suspects.answersBeforeCrashes(crash.traits(), System.nanoTime());
+        boolean isTelling = ThreadLocalRandom.current().nextDouble() * peerCount < MAX_TELLING_ENTRIES;
+        if (!answers.isEmpty() && isTelling) {
+            peers.answered(answers);
+        }
     }
 
     /** Records a crash, and logs and counts only its first report; each entry with open requests there sends one. */
@@ -69,23 +107,81 @@
 
     /** Records a complete answer to a request. */
     void answered(RequestTraits traits) {
-        Set<RequestTrait> cleared =
-                suspects.answered(suspects.hasSuspects() ? traits.all() : traits.parts(), System.nanoTime());
+        boolean mayBeSuspect = traits.areCheap() || suspects.hasSuspects();
+        Set<RequestTrait> cleared = suspects.answered(mayBeSuspect ? traits.all() : traits.parts(), System.nanoTime());
         if (!cleared.isEmpty()) {
-            peers.answered(cleared);
+            peers.answered(
+                    cleared.stream().map(trait -> new AnsweredTrait(trait, 0)).toList());
         }
     }
 
     /** Returns why a request is refused; empty if it may be sent. */
     Optional<Failure> refusal(RequestTraits traits) {
+        Optional<BlockedTrait> block = findBlock(traits);
+        block.ifPresent(found -> metrics.count("requests_blocked"));
+        return block.map(CrashMonitor::failure);
+    }
+
+    private Optional<BlockedTrait> findBlock(RequestTraits traits) {
         long nowNanos = System.nanoTime();
         decide(nowNanos);
-        if (!suspects.isRefusing(nowNanos)) {
-            return Optional.empty();
+        return suspects.isRefusing(nowNanos) ? suspects.findBlock(traits.all(), nowNanos) : Optional.empty();
+    }
+
+    /**
+     * Writes what this entry has seen of crashes to the store if others may need it from there.
+     *
+     * @param isFullyConnected whether all entries exchange datagrams
+     * @param entries number of the other entries
+     */
+    void store(boolean isFullyConnected, int entries) {
+        peerCount = entries;
+        if (isWriting) {
+            return;
         }
-        Optional<BlockedTrait> block = suspects.findBlock(traits.all(), nowNanos);
-        block.ifPresent(found -> metrics.count("requests_blocked"));
-        return block.map(CrashMonitor::failure);
+        records.toWrite(isFullyConnected, System.nanoTime(), System.currentTimeMillis())
+                .ifPresent(record -> {
+                    isWriting = true;
+                    registry.write(record).thenAccept(result -> loop.execute(() -> written(record, result)));
+                });
+    }
+
+    private void written(CrashRecord record, Either<StoreError, Boolean> result) {
+        isWriting = false;
+        result.peek(success -> records.written(record));
+        log.change("crashes.stored")
+                .with("crashes", record.crashes().size())
+                .with("answers", record.answers().size())
+                .with("result", result.isRight() ? "written" : result.getLeft())
+                .write();
+    }
+
+    /** Returns whether the crashes that entries have stored were read. */
+    boolean isListed() {
+        return isListed;
+    }
+
+    @Override
+    public void listed(FeedBatch<CrashRecord> batch) {
+        isListed = true;
+        List<CrashRecord> all =
+                batch.events().stream().flatMap(event -> event.value().stream()).toList();
+        records.listed(all, System.nanoTime(), System.currentTimeMillis());
+    }
+
+    @Override
+    public void changed(FeedBatch<CrashRecord> batch) {
+        batch.events().stream()
+                .flatMap(event -> event.value().stream())
+                .forEach(record -> records.changed(record, System.nanoTime(), System.currentTimeMillis()));
+    }
+
+    @Override
+    public void storeRegained(ClockReading lastFailureStart) {}
+
+    @Override
+    public void storeRestored() {
+        records.storeRestored();
     }
 
     private static Failure failure(BlockedTrait block) {
@@ -115,11 +211,12 @@
     @Override
     public void crashedElsewhere(InstanceId entry, TargetCrash crash) {
         recordCrash(entry.value(), crash);
+        tellEarlierAnswers(crash);
     }
 
     @Override
-    public void answeredElsewhere(Set<RequestTrait> traits) {
-        suspects.answered(traits, System.nanoTime());
+    public void answeredElsewhere(List<AnsweredTrait> answers) {
+        suspects.answeredElsewhere(answers, System.nanoTime());
     }
 
     @Override
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashNotices.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashNotices.java
@@ -1,8 +1,8 @@
 package io.endiveshed.gateway.internal;
 
-import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.crash.AnsweredTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
-import java.util.Set;
+import java.util.List;
 
 /** Sends what this entry finds out about targets that crash to the other entries. */
 interface CrashNotices {
@@ -12,12 +12,12 @@
         public void crashed(TargetCrash crash) {}
 
         @Override
-        public void answered(Set<RequestTrait> traits) {}
+        public void answered(List<AnsweredTrait> answers) {}
     };
 
     /** Sends notice of a target that has crashed. */
     void crashed(TargetCrash crash);
 
-    /** Sends notice of an answer to a request with traits that were suspected of crashes. */
-    void answered(Set<RequestTrait> traits);
+    /** Sends notice of answers to requests with traits that are suspected of crashes, before them or since. */
+    void answered(List<AnsweredTrait> answers);
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -71,6 +71,7 @@
     private ClockReading lastFailureStart;
     private boolean isStoreLost;
     private int failuresInARow;
+    private Runnable whenReachable = () -> {};
     private boolean isStopped;
 
     FeedFollower(
@@ -101,6 +102,21 @@
         isStopped = true;
     }
 
+    /** Sets an action that runs when the store answers again after one or more failed calls. */
+    void whenReachable(Runnable action) {
+        whenReachable = action;
+    }
+
+    /**
+     * Calls the store again now. Another feed has found that connections to the store were lost, and a watch that waits on
+     * one of them would hide changes until its timeout.
+     */
+    void refresh() {
+        if (version >= 0 && !isStoreLost) {
+            requestNext();
+        }
+    }
+
     /** Returns the time in milliseconds since the objects were last confirmed. */
     long ageMillis() {
         return freshness.ageMillis(clock.get());
@@ -184,6 +200,7 @@
             if (failuresInARow >= OUTAGE_FAILURES) {
                 listener.storeRegained(lastFailureStart);
             }
+            whenReachable.run();
         }
         failuresInARow = 0;
         if (isConfirmation(start, batch, !isWatch)) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
@@ -36,11 +36,14 @@
     /** Part of the drain time for which a change of the targets may wait; the rest is for calls and open placements. */
     private static final double DRAIN_PART = 0.4;
 
-    /** Timeout of a watch on the entries, which change rarely. */
-    private static final Duration ENTRIES_WATCH_TIMEOUT = Duration.ofSeconds(25);
+    /**
+     * Timeout of a watch on objects that change rarely. It may be long, as the watch is repeated when the feed of the
+     * desired state finds that connections to the store were lost.
+     */
+    private static final Duration RARE_CHANGES_WATCH_TIMEOUT = Duration.ofSeconds(25);
 
-    /** Minimum time between two watches on the entries that return changes. */
-    private static final Duration ENTRIES_MIN_INTERVAL = Duration.ofSeconds(1);
+    /** Minimum time between two watches on objects that change rarely, if the first one returned changes. */
+    private static final Duration RARE_CHANGES_MIN_INTERVAL = Duration.ofSeconds(1);
 
     private FeedPaces() {}
 
@@ -61,8 +64,9 @@
                 min(TARGETS_MAX_MIN_INTERVAL, longestDelay));
     }
 
-    static FeedFollower.Pace entries() {
-        return new FeedFollower.Pace(ENTRIES_WATCH_TIMEOUT, ENTRIES_MIN_INTERVAL);
+    /** Returns the pace of the feeds of entries and of stored crashes. */
+    static FeedFollower.Pace rareChanges() {
+        return new FeedFollower.Pace(RARE_CHANGES_WATCH_TIMEOUT, RARE_CHANGES_MIN_INTERVAL);
     }
 
     private static Duration min(Duration first, Duration second) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.AtomicValue;
+import io.endiveshed.coordination.crash.CrashRecord;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.StoreIsolation;
 import io.endiveshed.coordination.limit.SharingEntries;
@@ -80,6 +81,7 @@
     private final FeedFollower<ServiceCatalog> catalogFollower;
     private final FeedFollower<TargetInstance> targetsFollower;
     private final FeedFollower<EntryRecord> entriesFollower;
+    private final FeedFollower<CrashRecord> crashesFollower;
     private final Map<ServiceName, AttemptBudget> budgetsByService = new HashMap<>();
     private final EntryRecord self;
     private final PlatformPorts ports;
@@ -101,7 +103,8 @@
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
                 System.currentTimeMillis());
         GatewayMetrics metrics = new GatewayMetrics(registry);
-        this.crashes = new CrashMonitor(target -> target.client().probe(), loop, metrics, log);
+        this.crashes = new CrashMonitor(
+                self.instance(), target -> target.client().probe(), ports.crashes(), loop, metrics, log);
         this.targets = new Targets(
                 loops,
                 loop,
@@ -128,7 +131,12 @@
         this.catalogFollower =
                 follower("desired state", ports.catalog(), FeedPaces.catalog(), new CatalogUpdater(catalog, log));
         this.targetsFollower = follower("targets", ports.targets(), FeedPaces.targets(settings.bounds()), targets);
-        this.entriesFollower = follower("entries", ports.entries(), FeedPaces.entries(), peers);
+        this.entriesFollower = follower("entries", ports.entries(), FeedPaces.rareChanges(), peers);
+        this.crashesFollower = follower("crashes", ports.crashes(), FeedPaces.rareChanges(), crashes);
+        catalogFollower.whenReachable(() -> {
+            entriesFollower.refresh();
+            crashesFollower.refresh();
+        });
         this.forwarder = new RequestForwarder(
                 new GatewayContext(
                         loop,
@@ -174,6 +182,7 @@
         catalogFollower.start();
         targetsFollower.start();
         entriesFollower.start();
+        crashesFollower.start();
         register();
         loop.scheduleAtFixedRate(
                 this::heartbeat, HEARTBEAT_INTERVAL.toMillis(), HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -185,6 +194,7 @@
         catalogFollower.stop();
         targetsFollower.stop();
         entriesFollower.stop();
+        crashesFollower.stop();
         peers.stop();
         loops.shutdownGracefully(0, HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
                 .syncUninterruptibly();
@@ -200,8 +210,9 @@
         return canCheckKeys && !isIsolated && readiness(isDraining).isReady();
     }
 
+    /** Returns whether requests that have waited since the start can be served, with what other entries have stored. */
     private boolean canServe() {
-        return readiness(false).isReady();
+        return readiness(false).isReady() && crashes.isListed();
     }
 
     private Readiness readiness(boolean isStopping) {
@@ -231,6 +242,7 @@
         limits.setEntries(peers.listedEntries()
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
                 .orElse(Set.of()));
+        crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
         backlogs.removeOverdue();
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -1,6 +1,7 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.crash.AnsweredTrait;
 import io.endiveshed.coordination.crash.BlockedTrait;
 import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
@@ -58,9 +59,14 @@
      * @param stateAgeMillis age of its desired state in milliseconds
      * @param blocked traits of requests that it blocks; those beyond the maximum are left out
      * @param limits limits of targets that it knows, the most important first; those beyond the maximum are left out
+     * @param unreachableEntries number of listed entries of which it receives no heartbeats
      */
     static byte[] heartbeat(
-            PeerIncarnation sender, long stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {
+            PeerIncarnation sender,
+            long stateAgeMillis,
+            List<BlockedTrait> blocked,
+            List<LimitNotice> limits,
+            int unreachableEntries) {
         return pack(sender, HEARTBEAT, packer -> {
             packer.packLong(stateAgeMillis);
             // Earlier builds expect the parts of prompts that are blocked.
@@ -78,6 +84,7 @@
                 packer.packLong(block.ageMillis());
                 packer.packLong(block.remainingMillis());
             }
+            packer.packInt(unreachableEntries);
         });
     }
 
@@ -90,9 +97,15 @@
         });
     }
 
-    /** Encodes the traits of a request that was answered. */
-    static byte[] answered(PeerIncarnation sender, Set<RequestTrait> traits) {
-        return pack(sender, ANSWERED, packer -> packTraits(packer, traits));
+    /** Encodes answers to requests that are suspected of crashes; those beyond the maximum are left out. */
+    static byte[] answered(PeerIncarnation sender, List<AnsweredTrait> answers) {
+        return pack(sender, ANSWERED, packer -> {
+            packer.packArrayHeader(Math.min(MAX_TRAITS, answers.size()));
+            for (AnsweredTrait answer : answers.subList(0, Math.min(MAX_TRAITS, answers.size()))) {
+                packTrait(packer, answer.trait());
+                packer.packLong(answer.ageMillis());
+            }
+        });
     }
 
     private static void packTraits(MessageBufferPacker packer, Set<RequestTrait> traits) throws IOException {
@@ -155,7 +168,7 @@
                 case ENDED ->
                     Optional.of(PeerDatagram.ofEnd(sender, new End(unpacker.unpackLong(), unpacker.unpackFloat())));
                 case CRASHED -> Optional.of(PeerDatagram.ofCrash(sender, readCrash(unpacker)));
-                case ANSWERED -> Optional.of(PeerDatagram.ofAnswer(sender, readTraits(unpacker)));
+                case ANSWERED -> Optional.of(PeerDatagram.ofAnswers(sender, readAnswers(unpacker)));
                 default -> Optional.empty();
             };
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -172,7 +185,8 @@
             unpacker.unpackLong();
         }
         List<LimitNotice> limits = unpacker.hasNext() ? readLimits(unpacker) : List.of();
-        return new Heartbeat(stateAge, unpacker.hasNext() ? readBlocked(unpacker) : List.of(), limits);
+        List<BlockedTrait> blocked = unpacker.hasNext() ? readBlocked(unpacker) : List.of();
+        return new Heartbeat(stateAge, blocked, limits, unpacker.hasNext() ? unpacker.unpackInt() : 0);
     }
 
     private static List<BlockedTrait> readBlocked(MessageUnpacker unpacker) throws IOException {
@@ -207,6 +221,15 @@
         return new TargetCrash(new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), readTraits(unpacker));
     }
 
+    private static List<AnsweredTrait> readAnswers(MessageUnpacker unpacker) throws IOException {
+        int count = readTraitCount(unpacker);
+        List<AnsweredTrait> answers = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            answers.add(new AnsweredTrait(readTrait(unpacker), unpacker.unpackLong()));
+        }
+        return answers;
+    }
+
     private static Set<RequestTrait> readTraits(MessageUnpacker unpacker) throws IOException {
         int count = readTraitCount(unpacker);
         Set<RequestTrait> traits = new HashSet<>();
@@ -290,8 +313,13 @@
      * @param stateAgeMillis age of the sender's desired state in milliseconds, if the datagram tells it
      * @param blocked traits of requests that the sender blocks
      * @param limits what the sender knows of limits that targets name
+     * @param unreachableEntries number of listed entries of which the sender receives no heartbeats
      */
-    record Heartbeat(OptionalLong stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {}
+    record Heartbeat(
+            OptionalLong stateAgeMillis,
+            List<BlockedTrait> blocked,
+            List<LimitNotice> limits,
+            int unreachableEntries) {}
 
     /**
      * End of a prompt.
@@ -309,7 +337,7 @@
      * @param started prompt that started
      * @param ended prompt that ended
      * @param crash target that crashed
-     * @param answeredTraits traits of a request that was answered, which had been suspected of crashes
+     * @param answers answers to requests that are suspected of crashes
      */
     record PeerDatagram(
             PeerIncarnation sender,
@@ -317,30 +345,30 @@
             Optional<PlacementNotice> started,
             Optional<End> ended,
             Optional<TargetCrash> crash,
-            Set<RequestTrait> answeredTraits) {
+            List<AnsweredTrait> answers) {
         private static PeerDatagram ofHeartbeat(PeerIncarnation sender, Heartbeat heartbeat) {
             return new PeerDatagram(
-                    sender, Optional.of(heartbeat), Optional.empty(), Optional.empty(), Optional.empty(), Set.of());
+                    sender, Optional.of(heartbeat), Optional.empty(), Optional.empty(), Optional.empty(), List.of());
         }
 
         private static PeerDatagram ofStart(PeerIncarnation sender, PlacementNotice started) {
             return new PeerDatagram(
-                    sender, Optional.empty(), Optional.of(started), Optional.empty(), Optional.empty(), Set.of());
+                    sender, Optional.empty(), Optional.of(started), Optional.empty(), Optional.empty(), List.of());
         }
 
         private static PeerDatagram ofEnd(PeerIncarnation sender, End ended) {
             return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.of(ended), Optional.empty(), Set.of());
+                    sender, Optional.empty(), Optional.empty(), Optional.of(ended), Optional.empty(), List.of());
         }
 
         private static PeerDatagram ofCrash(PeerIncarnation sender, TargetCrash crash) {
             return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(crash), Set.of());
+                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(crash), List.of());
         }
 
-        private static PeerDatagram ofAnswer(PeerIncarnation sender, Set<RequestTrait> traits) {
+        private static PeerDatagram ofAnswers(PeerIncarnation sender, List<AnsweredTrait> answers) {
             return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), traits);
+                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), answers);
         }
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -2,8 +2,8 @@
 
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.crash.AnsweredTrait;
 import io.endiveshed.coordination.crash.BlockedTrait;
-import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.limit.LimitNotice;
@@ -113,6 +113,23 @@
         return Set.copyOf(activePeers.keySet());
     }
 
+    /**
+     * Returns whether all listed entries exchange datagrams with each other, as far as this entry receives their
+     * heartbeats. Otherwise some of them learn only from the store what others have seen.
+     */
+    boolean isFullyConnected() {
+        return isListed
+                && unreachableEntries() == 0
+                && activePeers.values().stream().allMatch(peer -> peer.unreachableEntries == 0);
+    }
+
+    /** Returns the number of listed entries of which this entry receives no heartbeats. */
+    private int unreachableEntries() {
+        return (int) listedAddresses.keySet().stream()
+                .filter(entry -> !activePeers.containsKey(entry))
+                .count();
+    }
+
     /**
      * Returns the ages of the desired states that the active peers have told, in milliseconds, counting the time since
      * then.
@@ -134,7 +151,7 @@
      * and drops the peers that have sent none for too long.
      */
     void heartbeat(long stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {
-        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blocked, limits));
+        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blocked, limits, unreachableEntries()));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -166,8 +183,8 @@
     }
 
     @Override
-    public void answered(Set<RequestTrait> traits) {
-        sendToAll(PeerCodec.answered(self, traits));
+    public void answered(List<AnsweredTrait> answers) {
+        sendToAll(PeerCodec.answered(self, answers));
     }
 
     @Override
@@ -241,8 +258,8 @@
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
         datagram.ended().ifPresent(end -> listener.ended(owner, end.number(), end.remainingPrefillMillis()));
         datagram.crash().ifPresent(crash -> crashListener.crashedElsewhere(sender.instance(), crash));
-        if (!datagram.answeredTraits().isEmpty()) {
-            crashListener.answeredElsewhere(datagram.answeredTraits());
+        if (!datagram.answers().isEmpty()) {
+            crashListener.answeredElsewhere(datagram.answers());
         }
     }
 
@@ -251,6 +268,7 @@
             peer.stateAgeMillis = heartbeat.stateAgeMillis();
             peer.stateAgeReceivedNanos = peer.lastReceivedNanos;
         }
+        peer.unreachableEntries = heartbeat.unreachableEntries();
         heartbeat.blocked().forEach(crashListener::blockedElsewhere);
         heartbeat.limits().forEach(notice -> limitListener.limitObservedElsewhere(entry, notice));
     }
@@ -294,6 +312,7 @@
         private OptionalLong stateAgeMillis = OptionalLong.empty();
         private long stateAgeReceivedNanos;
         private boolean wasSentPlacements;
+        private int unreachableEntries;
 
         private PeerState(int owner, long startedMillis) {
             this.owner = owner;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestTraits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestTraits.java
@@ -23,6 +23,9 @@
     /** Bytes of a digest that are kept; two of a day's requests share them by chance with a probability below 1e-10. */
     private static final int DIGEST_BYTES = 12;
 
+    /** Maximum length in bytes of a body whose digest is computed even if nothing depends on it yet. */
+    private static final int MAX_CHEAP_BODY_BYTES = 64 * 1024;
+
     private final AdmittedRequest request;
     private List<RequestTrait> traits;
 
@@ -35,6 +38,11 @@
         return all().get(0);
     }
 
+    /** Returns whether the traits take little time to compute. */
+    boolean areCheap() {
+        return traits != null || request.caller().data().body().length <= MAX_CHEAP_BODY_BYTES;
+    }
+
     /** Returns all traits, the most specific first. */
     List<RequestTrait> all() {
         if (traits == null) {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -103,6 +103,35 @@
         }
     }
 
+    /** Guards against a change that a lost watch on rarely changing objects hides until its long timeout. */
+    @Test
+    void refreshedFeedSeesWhatItsLostWatchHides() {
+        FeedFollower<String> follower = startFollower(FeedPaces.rareChanges());
+        advance(1_000);
+        feed.becomeSilent();
+        feed.isSilent = false;
+        feed.put("hidden");
+        advance(5_000);
+        assertThat(known).isEmpty();
+
+        follower.refresh();
+        advance(1);
+        assertThat(known).containsExactly("hidden");
+    }
+
+    /** Guards against lost watches of other feeds that nobody repeats after the store was unavailable. */
+    @Test
+    void otherFeedsAreToldWhenTheStoreAnswersAgainAfterOneFailedCall() {
+        FeedFollower<String> follower = startFollower(PACE);
+        int[] reachable = new int[1];
+        follower.whenReachable(() -> reachable[0]++);
+        advance(1_000);
+        assertThat(reachable[0]).isEqualTo(0);
+        feed.failCurrentCall();
+        advance(1_000);
+        assertThat(reachable[0]).isEqualTo(1);
+    }
+
     /** Guards against a target that left and gets requests for seconds because one packet of a call was lost. */
     @Test
     void singleFailedCallIsNoOutage() {
