Check again for crashes when memory was granted and a connection is open

What callers saw: nothing; a target crashed once more than needed. A long prompt waits for memory, and a request for a connection, after it was found to be harmless; targets that crashed under it meanwhile were not looked at.

Cause: requests were checked when a target was picked only, while their key was checked at each step.

Change: ForwardedRequest.reasonNotToSend asks for both at each step. Failures of the entry itself are counted by kind (metric failures{kind}), in place of requests_blocked.

Evidence: requestThatWasBlockedWhileItWaitedIsNotSent failed before (status 0 instead of 503, the request was sent).

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -117,15 +117,11 @@
 
     /** Returns why a request is refused; empty if it may be sent. */
     Optional<Failure> refusal(RequestTraits traits) {
-        Optional<BlockedTrait> block = findBlock(traits);
-        block.ifPresent(found -> metrics.count("requests_blocked"));
-        return block.map(CrashMonitor::failure);
-    }
-
-    private Optional<BlockedTrait> findBlock(RequestTraits traits) {
         long nowNanos = System.nanoTime();
         decide(nowNanos);
-        return suspects.isRefusing(nowNanos) ? suspects.findBlock(traits.all(), nowNanos) : Optional.empty();
+        return suspects.isRefusing(nowNanos)
+                ? suspects.findBlock(traits.all(), nowNanos).map(CrashMonitor::failure)
+                : Optional.empty();
     }
 
     /**
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -90,12 +90,8 @@
         startAttempt();
     }
 
-    /** Picks a target and prepares the attempt; ends the request if its key cannot be checked or no target is found. */
+    /** Picks a target and prepares the attempt; ends the request if it may not be sent or no target is found. */
     private void startAttempt() {
-        if (!mayUseKey()) {
-            failBecauseOfUncheckedKey();
-            return;
-        }
         Either<Failure, Assignment> picked = pickTarget(System.nanoTime());
         if (picked.isLeft()) {
             fail(picked.getLeft());
@@ -105,25 +101,25 @@
     }
 
     /**
-     * Returns whether the key of the request, if it has one, is known not to have been revoked. Checked again after each
-     * wait, as the process may have been suspended in between.
+     * Returns why the request may not be sent at this moment: its key may have been revoked, or targets crash when they run
+     * it. Checked again after each wait, as that may have changed or the process may have been suspended.
      */
-    private boolean mayUseKey() {
-        return request.account().isEmpty()
-                || !context.access().isTooOldForKeys(context.catalogAgeMillis().getAsLong());
-    }
-
-    private void failBecauseOfUncheckedKey() {
-        fail(context.access().staleKeyFailure(context.catalogAgeMillis().getAsLong()));
+    private Optional<Failure> reasonNotToSend() {
+        long catalogAgeMillis = context.catalogAgeMillis().getAsLong();
+        boolean isKeyUnchecked =
+                request.account().isPresent() && context.access().isTooOldForKeys(catalogAgeMillis);
+        return isKeyUnchecked
+                ? Optional.of(context.access().staleKeyFailure(catalogAgeMillis))
+                : context.crashes().refusal(traits);
     }
 
     private Either<Failure, Assignment> pickTarget(long nowNanos) {
+        Optional<Failure> reason = reasonNotToSend();
+        if (reason.isPresent()) {
+            return Either.left(reason.get());
+        }
         TargetPicker picker =
                 request.service().engineCosts().isPresent() ? context.enginePicker() : context.plainPicker();
-        Optional<Failure> refusal = context.crashes().refusal(traits);
-        if (refusal.isPresent()) {
-            return Either.left(refusal.get());
-        }
         long waitingSinceNanos = relay.hasStarted() ? relay.lastWriteNanos() : request.arrivedNanos();
         return picker.pick(request, waitingSinceNanos, excludedTargets, nowNanos);
     }
@@ -139,12 +135,8 @@
             picked.release();
             return;
         }
-        if (isReady && !mayUseKey()) {
-            failBecauseOfUncheckedKey();
-            return;
-        }
         if (isReady) {
-            send(picked, System.nanoTime());
+            reasonNotToSend().ifPresentOrElse(this::fail, () -> send(picked, System.nanoTime()));
             return;
         }
         picked.release();
@@ -191,7 +183,7 @@
                         data.body(),
                         current,
                         head -> context.dialect().isResponseTo(request.caller().id(), head),
-                        () -> mayUseKey() && target.tryAcquireRequest(System.nanoTime()));
+                        () -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()));
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
@@ -291,10 +283,11 @@
         log.attemptEvent(assignment, attempts, "attempt.broken", message);
         cancelExchange();
         endAttempt();
-        if (!sent && !mayUseKey()) {
-            // The exchange was not sent because of the key, which says nothing about the target.
+        Optional<Failure> reason = sent ? Optional.empty() : reasonNotToSend();
+        if (reason.isPresent()) {
+            // The exchange was not sent because of the request, which says nothing about the target.
             attempts--;
-            failBecauseOfUncheckedKey();
+            fail(reason.get());
             return;
         }
         if (!sent) {
@@ -453,6 +446,7 @@
         if (mayHaveRun && failure.outcome() == Outcome.NOT_RUN) {
             sent = failureWithUnknownOutcome(failure.message());
         }
+        context.metrics().count("failures;kind=" + failure.kind().code());
         FailureResponder.send(context.dialect(), sink, sent, request.remainingMillis(System.nanoTime()));
         finish(sent.kind().httpStatus(), sent.message());
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -10,6 +10,8 @@
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.AtomicValue;
+import io.endiveshed.coordination.crash.BlockedTrait;
+import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.service.AccessPolicy;
 import io.endiveshed.coordination.service.ClientAccount;
@@ -67,6 +69,8 @@
     private long budgetNanos;
     private AttemptBudget budget = new AttemptBudget(0, 10, () -> budgetNanos);
     private ServerSocket silentTarget;
+    private CrashMonitor crashes;
+    private RequestTraits traits;
 
     @BeforeEach
     void openTarget() throws IOException {
@@ -92,6 +96,17 @@
         assertThat(assignments).hasSize(1);
     }
 
+    /** Guards against a request that waits for memory and is sent although targets have crashed under it meanwhile. */
+    @Test
+    void requestThatWasBlockedWhileItWaitedIsNotSent() {
+        start();
+        RequestTrait key = traits.key();
+        crashes.blockedElsewhere(new BlockedTrait(key, 0, 60_000));
+        assignments.get(0).whenPrepared.accept(true);
+        assertThat(sink.status).isEqualTo(503);
+        assertThat(assignments.get(0).isReleased).isTrue();
+    }
+
     /** Guards against a stream that waits for its time limit at a silent target because the budget was used up once. */
     @Test
     void stalledRequestMovesAsSoonAsTheBudgetAllowsIt() {
@@ -120,6 +135,13 @@
     private void start() {
         GatewayMetrics metrics = new GatewayMetrics(new MetricRegistry());
         EventLog log = EventLog.to(new PrintStream(new ByteArrayOutputStream()));
+        crashes = new CrashMonitor(
+                new InstanceId("entry-1"),
+                new ReachableTargets(),
+                new FakeCrashRegistry(),
+                channel.eventLoop(),
+                metrics,
+                log);
         GatewayContext context = new GatewayContext(
                 channel.eventLoop(),
                 new FakeDialect(),
@@ -132,13 +154,7 @@
                 endpoint -> Optional.empty(),
                 new RequestLimits(new InstanceId("entry-1"), targets(log), System::nanoTime, metrics, log),
                 service -> budget,
-                new CrashMonitor(
-                        new InstanceId("entry-1"),
-                        new ReachableTargets(),
-                        new FakeCrashRegistry(),
-                        channel.eventLoop(),
-                        metrics,
-                        log),
+                crashes,
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
                 metrics,
                 log);
@@ -170,6 +186,7 @@
                 Optional.of(new ClientAccount(new ClientAccountId("ferry"), OptionalInt.empty())),
                 nowNanos,
                 nowNanos + Duration.ofMinutes(1).toNanos());
+        traits = new RequestTraits(request);
         new ForwardedRequest(context, request, sink, () -> {}).start();
     }
 
