Take a response that names no request for an answer on new connections only

What callers saw, as other operators report: "not run, ask again" for a request that a target had run or was running. A faulty target wrote an earlier refusal once more on a kept connection.

Cause: responses name their request, and one that names another is skipped. One that names none was taken for the answer to the request that uses the connection, because a target that cannot parse a request answers so.

Change: such a response counts only on a connection that no other request has used, and the connection is not used again; on any other one the attempt is broken off and may have run.

--- a/gateway/src/main/java/io/endiveshed/gateway/RequestDialect.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/RequestDialect.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.net.http.HttpRequestData;
+import io.endiveshed.net.http.ResponseOwner;
 import io.endiveshed.protocol.Header;
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -19,7 +20,7 @@
     List<Header> targetHeaders(CallerRequest request, ForwardingOptions options);
 
     /** Returns whether a response with these header fields belongs to the request with the given id. */
-    boolean isResponseTo(String requestId, List<Header> responseHeaders);
+    ResponseOwner responseOwner(String requestId, List<Header> responseHeaders);
 
     /** Decodes status and header fields of a target's response. */
     TargetResponseHead decodeResponseHead(int status, List<Header> headers);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -6,6 +6,7 @@
 import io.endiveshed.coordination.service.RouteKind;
 import io.endiveshed.gateway.ForwardingOptions;
 import io.endiveshed.gateway.TargetResponseHead;
+import io.endiveshed.net.http.ExchangeOptions;
 import io.endiveshed.net.http.HttpExchange;
 import io.endiveshed.net.http.HttpRequestData;
 import io.endiveshed.net.http.ResponseSink;
@@ -175,15 +176,12 @@
                 relay,
                 context.responseMemory());
         TargetResponse current = response;
-        exchange = target.client()
-                .send(
-                        data.method(),
-                        data.uri(),
-                        headers,
-                        data.body(),
-                        current,
-                        head -> context.dialect().isResponseTo(request.caller().id(), head),
-                        () -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()));
+        ExchangeOptions options = ExchangeOptions.builder()
+                .responseOwner(
+                        head -> context.dialect().responseOwner(request.caller().id(), head))
+                .condition(() -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()))
+                .build();
+        exchange = target.client().send(data.method(), data.uri(), headers, data.body(), current, options);
         relay.setExchange(exchange);
         log.attemptPlaced(prepared, attempts);
         startStallTimer(StallLimits.untilFirstEvent(prepared.predictedMillis()));
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -31,6 +31,7 @@
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpRequestData;
+import io.endiveshed.net.http.ResponseOwner;
 import io.endiveshed.net.http.ResponseSink;
 import io.endiveshed.protocol.Header;
 import io.netty.channel.EventLoopGroup;
@@ -257,8 +258,8 @@
         }
 
         @Override
-        public boolean isResponseTo(String requestId, List<Header> responseHeaders) {
-            return true;
+        public ResponseOwner responseOwner(String requestId, List<Header> responseHeaders) {
+            return ResponseOwner.CURRENT_REQUEST;
         }
 
         @Override
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -81,7 +81,11 @@
             String path,
             List<Header> headers,
             byte[] content) {
-        HttpExchange exchange = client.send(method, path, headers, content, this, isOwnResponse);
+        ExchangeOptions options = ExchangeOptions.builder()
+                .responseOwner(response ->
+                        isOwnResponse.test(response) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
+                .build();
+        HttpExchange exchange = client.send(method, path, headers, content, this, options);
         scheduler.schedule(timeout, () -> result.complete(Either.left(NO_VALID_ANSWER)));
         // Has no effect on an exchange that has ended; any other would keep reading a response that nobody waits for.
         result.thenRun(exchange::cancel);
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -19,8 +19,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 
 /**
  * HTTP client for one address that reuses connections. Safe for use by several threads.
@@ -82,37 +80,18 @@
     @Override
     public HttpExchange send(
             String method, String path, List<Header> headers, byte[] body, HttpResponseListener listener) {
-        return send(method, path, headers, body, listener, response -> true);
+        return send(method, path, headers, body, listener, ExchangeOptions.defaults());
     }
 
-    /**
-     * Sends a request and accepts only a response whose header fields satisfy the predicate. Any other response belongs
-     * to an earlier request of the connection and is discarded.
-     */
-    public HttpExchange send(
-            String method,
-            String path,
-            List<Header> headers,
-            byte[] body,
-            HttpResponseListener listener,
-            Predicate<List<Header>> isOwnResponse) {
-        return send(method, path, headers, body, listener, isOwnResponse, () -> true);
-    }
-
-    /**
-     * Sends a request unless the condition no longer holds when its connection is open, for example because the process
-     * was suspended meanwhile. The listener is then told that the exchange failed and that nothing was sent.
-     */
+    /** Sends a request with options; the listener is notified of the response on the connection's event loop. */
     public HttpExchange send(
             String method,
             String path,
             List<Header> headers,
             byte[] body,
             HttpResponseListener listener,
-            Predicate<List<Header>> isOwnResponse,
-            BooleanSupplier mayBeSent) {
-        HttpExchange exchange =
-                new HttpExchange(this, listener, isOwnResponse, mayBeSent, method, path, host(), headers, body);
+            ExchangeOptions options) {
+        HttpExchange exchange = new HttpExchange(this, listener, options, method, path, host(), headers, body);
         acquire(exchange);
         return exchange;
     }
@@ -150,14 +129,10 @@
     }
 
     void acquire(HttpExchange exchange) {
-        for (ClientConnection connection = idleConnections.pollLast();
-                connection != null;
-                connection = idleConnections.pollLast()) {
-            if (connection.isUsable()) {
-                exchange.begin(connection);
-                return;
-            }
-            connection.close();
+        ClientConnection idle = exchange.needsNewConnection() ? null : pollIdle();
+        if (idle != null) {
+            exchange.begin(idle);
+            return;
         }
         bootstrap.connect().addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
@@ -169,6 +144,19 @@
         });
     }
 
+    /** Returns an idle connection that can be used; null if there is none. */
+    private ClientConnection pollIdle() {
+        for (ClientConnection connection = idleConnections.pollLast();
+                connection != null;
+                connection = idleConnections.pollLast()) {
+            if (connection.isUsable()) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
     void release(ClientConnection connection) {
         if (stopped || !options.reuse()) {
             connection.close();
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -10,15 +10,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
-import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 
 /** Request in progress of an {@link HttpClient}. Safe for use by several threads. */
 public final class HttpExchange implements TargetExchange {
     private final HttpClient client;
     private final HttpResponseListener listener;
-    private final Predicate<List<Header>> isOwnResponse;
-    private final BooleanSupplier mayBeSent;
+    private final ExchangeOptions options;
     private final String method;
     private final String path;
     private final String host;
@@ -31,8 +28,7 @@
     HttpExchange(
             HttpClient client,
             HttpResponseListener listener,
-            Predicate<List<Header>> isOwnResponse,
-            BooleanSupplier mayBeSent,
+            ExchangeOptions options,
             String method,
             String path,
             String host,
@@ -40,8 +36,7 @@
             byte[] body) {
         this.client = client;
         this.listener = listener;
-        this.isOwnResponse = isOwnResponse;
-        this.mayBeSent = mayBeSent;
+        this.options = options;
         this.method = method;
         this.path = path;
         this.host = host;
@@ -71,6 +66,10 @@
         }
     }
 
+    boolean needsNewConnection() {
+        return options.isOnNewConnection();
+    }
+
     void begin(ClientConnection acquired) {
         acquired.execute(() -> send(acquired));
     }
@@ -85,7 +84,7 @@
             client.acquire(this);
             return;
         }
-        if (!mayBeSent.getAsBoolean()) {
+        if (!options.condition().getAsBoolean()) {
             client.release(acquired);
             listener.failed(false, "the request may no longer be sent");
             return;
@@ -101,7 +100,7 @@
             listener.failed(false, "the request was cancelled before it was sent");
             return;
         }
-        acquired.begin(listener, isOwnResponse, reusable -> release(acquired, reusable));
+        acquired.begin(listener, options.responseOwner(), reusable -> release(acquired, reusable));
         acquired.write(buildRequest());
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpResponseListener;
+import io.endiveshed.net.http.ResponseOwner;
 import io.endiveshed.protocol.Header;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,7 +18,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -36,12 +37,13 @@
     private final HttpClientOptions options;
     private ChannelHandlerContext context;
     private HttpResponseListener listener;
-    private Predicate<List<Header>> isOwnResponse;
+    private Function<List<Header>, ResponseOwner> responseOwner;
     private Consumer<Boolean> whenFinished;
     private boolean keepAlive;
     private boolean isSkippingResponse;
     private boolean staleResponseSeen;
     private int skippedBytes;
+    private int requests;
     private long maxIdleMillis;
     private long idleSinceNanos;
     private ScheduledFuture<?> idleTimeout;
@@ -81,16 +83,18 @@
      * Assigns the connection to a request; must run on the event loop.
      *
      * @param newListener receives the response
-     * @param filter accepts the header fields of the request's own response; other responses are skipped
+     * @param owner tells from the header fields of a response to which request it belongs
      * @param finished called when the exchange has ended or failed, with whether the connection can be reused
      */
-    public void begin(HttpResponseListener newListener, Predicate<List<Header>> filter, Consumer<Boolean> finished) {
+    public void begin(
+            HttpResponseListener newListener, Function<List<Header>, ResponseOwner> owner, Consumer<Boolean> finished) {
         if (idleTimeout != null) {
             idleTimeout.cancel(false);
             idleTimeout = null;
         }
         listener = newListener;
-        isOwnResponse = filter;
+        responseOwner = owner;
+        requests++;
         whenFinished = finished;
         isSkippingResponse = false;
         staleResponseSeen = false;
@@ -169,13 +173,19 @@
             isSkippingResponse = true;
             return false;
         }
-        if (!isOwnResponse.test(headers)) {
+        ResponseOwner owner = responseOwner.apply(headers);
+        if (owner == ResponseOwner.OTHER_REQUEST) {
             isSkippingResponse = true;
             staleResponseSeen = true;
             return false;
         }
+        if (owner == ResponseOwner.UNKNOWN && requests > 1) {
+            fail("a response that names no request arrived on a connection that other requests have used");
+            context.close();
+            return false;
+        }
         boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
-        keepAlive = HttpUtil.isKeepAlive(response) && framed;
+        keepAlive = HttpUtil.isKeepAlive(response) && framed && owner == ResponseOwner.CURRENT_REQUEST;
         adoptAnnouncedIdleTimeout(response.headers().get(KEEP_ALIVE_FIELD));
         listener.started(response.status().code(), headers);
         return true;
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -106,7 +106,12 @@
         })) {
             HttpClient client = new HttpClient(loops, server.address());
             HttpExchange exchange = client.send(
-                    "GET", "/", List.of(), new byte[0], new FailureListener(wasSent), response -> true, () -> false);
+                    "GET",
+                    "/",
+                    List.of(),
+                    new byte[0],
+                    new FailureListener(wasSent),
+                    ExchangeOptions.builder().condition(() -> false).build());
             assertThat(wasSent.get(WAIT_SECONDS, TimeUnit.SECONDS)).isFalse();
             exchange.cancel();
             client.stop();
