Send a request to the same target again on a connection of its own

Cause: all attempts of a caller's request have the same id. A late copy of the refusal then has the right id.

Change: a second attempt at a target uses a connection that no request has used before.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -51,6 +51,7 @@
     private final ResponseSink sink;
     private final Runnable whenFinished;
     private final Set<TargetRuntime> excludedTargets = new HashSet<>();
+    private final Set<TargetRuntime> triedTargets = new HashSet<>();
     private final ResponseRelay relay;
     private final RequestTraits traits;
     private final RequestLog log;
@@ -180,6 +181,8 @@
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
                 .condition(() -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()))
+                // A late copy of the first response of a target has the same id as its next one.
+                .onNewConnection(!triedTargets.add(target))
                 .build();
         exchange = target.client().send(data.method(), data.uri(), headers, data.body(), current, options);
         relay.setExchange(exchange);
