--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -19,13 +19,19 @@
 final class Store implements AutoCloseable {
     private static final Pattern NAME = Pattern.compile("\"name\"\\s*:\\s*\"([^\"]*)\"");
 
+    /** Bytes that are written at once to a link with a limited bandwidth. */
+    private static final int PACKET_BYTES = 16 * 1024;
+
     private final Record record;
     private final ServerSocket server;
+    private final Object linkLock = new Object();
     private Map<String, Map<String, StoredObject>> objects = new TreeMap<>();
     private List<Change> history = new ArrayList<>();
     private long revision = 100;
     private long era = 1;
     private volatile boolean isDown;
+    private volatile double bytesPerMilli = Double.MAX_VALUE;
+    private long linkFreeNanos = System.nanoTime();
 
     Store(Record record) throws IOException {
         this.record = record;
@@ -47,7 +53,7 @@
         revision++;
         StoredObject object = new StoredObject(name, specification, revision);
         ofKind.put(name, object);
-        history.add(new Change(kind, object, false, revision));
+        history.add(new Change(kind, object, false, revision, System.nanoTime()));
         notifyAll();
     }
 
@@ -56,7 +62,7 @@
         if (object != null) {
             objects.get(kind).remove(name);
             revision++;
-            history.add(new Change(kind, object, true, revision));
+            history.add(new Change(kind, object, true, revision, System.nanoTime()));
             notifyAll();
         }
     }
@@ -115,7 +121,29 @@
                 socket.setSoLinger(true, 0);
                 return;
             }
-            socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+            byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
+            for (int sent = 0; sent < bytes.length; sent += PACKET_BYTES) {
+                int length = Math.min(PACKET_BYTES, bytes.length - sent);
+                awaitLink(length);
+                socket.getOutputStream().write(bytes, sent, length);
+            }
+        }
+    }
+
+    /** Sets the bandwidth of the link to the entries, which all answers share. */
+    void limitLink(double megabitsPerSecond) {
+        bytesPerMilli = megabitsPerSecond * 1e6 / 8 / 1e3;
+    }
+
+    private void awaitLink(int bytes) throws InterruptedException {
+        long waitNanos;
+        synchronized (linkLock) {
+            long now = System.nanoTime();
+            linkFreeNanos = Math.max(now, linkFreeNanos) + (long) (bytes / bytesPerMilli * 1e6);
+            waitNanos = linkFreeNanos - now;
+        }
+        if (waitNanos > 1_000_000) {
+            Thread.sleep(waitNanos / 1_000_000);
         }
     }
 
@@ -165,6 +193,16 @@
         return null;
     }
 
+    /** Returns the revision up to which the history is gone; the store keeps 20 s of it. */
+    private long droppedRevision() {
+        long oldest = System.nanoTime() - 20_000_000_000L;
+        long dropped = 0;
+        for (Change change : history) {
+            dropped = change.atNanos - oldest < 0 ? change.revision : dropped;
+        }
+        return dropped;
+    }
+
     private String http(String status, String body) {
         return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nStore-Era: " + era
                 + "\r\nConnection: close\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n"
@@ -196,7 +234,7 @@
         }
     }
 
-    private record Change(String kind, StoredObject object, boolean isDeleted, long revision) {}
+    private record Change(String kind, StoredObject object, boolean isDeleted, long revision, long atNanos) {}
 
     /** Objects, history and revision of one moment. */
     record Copy(Map<String, Map<String, StoredObject>> objects, List<Change> history, long revision) {}
@@ -220,6 +258,13 @@
             return this;
         }
 
+        /** Adds a route that needs no key. */
+        DesiredState publicRoute(String name, String service) {
+            route(name, "idempotent", service, 2, 5000);
+            routes.set(routes.size() - 1, routes.get(routes.size() - 1).replace("\"public\":false", "\"public\":true"));
+            return this;
+        }
+
         DesiredState tenant(String name, String... keys) {
             keysByTenant.put(name, List.of(keys));
             return this;
