--- a/review/src/PartialEntry.java
+++ b/review/src/PartialEntry.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Another writer replaces the entry of a model runner by one that names another service and lacks fields. The runner
- * writes its own entry again with its next ping.
+ * Another writer replaces the entry of a model runner by one that names another service, lacks fields and has one of
+ * another type. The runner writes its own entry again with its next ping.
  */
 final class PartialEntry implements Case.Script {
     private static final long PING_MILLIS = 1200;
@@ -59,9 +59,9 @@
             long overwritten = record.millis();
             if (hasTrouble) {
                 store.put("servers", model.id, "{\"service\":\"tankwa-app\",\"address\":\"127.0.0.1:"
-                        + model.address().getPort() + "\",\"zone\":\"bahirdar\",\"slots\":6,\"state\":\"ready\"}");
+                        + model.address().getPort() + "\",\"zone\":\"bahirdar\",\"slots\":\"6\",\"state\":\"ready\"}");
                 record.line("another writer has written " + model.id
-                        + " with the service tankwa-app and without version, coldRemainingMs, sequenceNumber and born");
+                        + " with the service tankwa-app, its slots as a text, and without version, coldRemainingMs, sequenceNumber and born");
             }
             List<Thread> clients = new ArrayList<>();
             for (int i = 1; i <= CALLS; i++) {
--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -175,7 +175,7 @@
         long end = System.nanoTime() + Long.parseLong(query.get("waitMs")) * 1_000_000;
         long eraAtStart = era;
         while (!isDown && era == eraAtStart) {
-            if (after > revision) {
+            if (after > revision || after < droppedRevision()) {
                 return http("410 Gone", "{}");
             }
             List<String> events = new ArrayList<>();
