--- a/review/src/ResetUnframed.java
+++ b/review/src/ResetUnframed.java
@@ -7,7 +7,7 @@
  * with unread bytes, which resets the connection.
  */
 final class ResetUnframed implements Case.Script {
-    private static final int BODY_BYTES = 4_000_000;
+    private static final int BODY_BYTES = 4_190_000;
     private static final int ANSWER_BYTES = 4_800;
     private static final int REQUESTS = 20;
     private static final int BROKEN_REQUEST = 10;
