--- a/review/src/FleetCrash.java
+++ b/review/src/FleetCrash.java
@@ -28,7 +28,7 @@
     public boolean run(Record record, boolean hasTrouble) throws Exception {
         List<Runner> runners = new ArrayList<>();
         for (int i = 1; i <= RUNNERS; i++) {
-            runners.add(new Runner("i-model-" + i));
+            runners.add(new Runner(record, "i-model-" + i));
         }
         try (Store store = new Store(record);
                 Server booking = new Server(record, "i-booking-1", 0, exchange -> {
@@ -106,7 +106,7 @@
         int added = redrafts(record, entries, name, REQUESTS, () -> {});
         int first = 0;
         for (int i = 1; i <= REQUESTS; i++) {
-            first += look(entries.get(i % entries.size()), name + "-look-" + i) ? 1 : 0;
+            first += look(record, entries.get(i % entries.size()), name + "-look-" + i) ? 1 : 0;
         }
         record.line(name + ": the first route served " + first + " of " + REQUESTS + ", the added one " + added + " of "
                 + REQUESTS);
@@ -116,10 +116,12 @@
         return added * 4 < first;
     }
 
-    private static boolean look(Deployment.Entry entry, String attempt) throws IOException {
+    private static boolean look(Record record, Deployment.Entry entry, String attempt) throws IOException {
         try (Client client = new Client(entry.ip, entry.port, 2000)) {
+            record.line(attempt + " is sent to " + entry.name);
             client.send("GET", "/look/" + attempt, fields(attempt), new byte[0]);
             Client.Answer answer = client.readAnswer();
+            record.line(attempt + " gets " + answer);
             return answer.isComplete() && answer.status == 200;
         }
     }
@@ -149,8 +151,10 @@
                     fields.put("Model", "m");
                     fields.put("Token-Counts", "5000,1300");
                     fields.put("Prompt-Prefix", "5c1e07a2:40," + Integer.toHexString(attempt.hashCode()) + ":4960");
+                    record.line(attempt + " is sent to " + entry.name);
                     client.send("POST", "/redraft/" + attempt, fields, new byte[1200]);
                     Client.Answer answer = client.readAnswer();
+                    record.line(attempt + " gets " + answer);
                     served.addAndGet(answer.isComplete() && answer.status == 200 ? 1 : 0);
                     result = answer.status + (answer.isComplete() ? "" : " cut")
                             + (answer.status == 503 ? " " + message(answer) : "");
@@ -178,13 +182,15 @@
         private static final int EVENTS = 20;
         private static final long EVENT_MILLIS = 80;
 
+        private final Record record;
         private final String id;
         private final int port;
         private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
         private ServerSocket server;
         private long born = 1;
 
-        private Runner(String id) throws IOException {
+        private Runner(Record record, String id) throws IOException {
+            this.record = record;
             this.id = id;
             try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 port = free.getLocalPort();
@@ -228,6 +234,7 @@
                     String attempt = head.fields().get("Attempt-Id");
                     write(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nResponse-Signature: sig-" + attempt
                             + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    record.line(id + " runs " + attempt);
                     int last = Integer.parseInt(head.fields().getOrDefault("Last-Event-Id", "0"));
                     for (int i = last + 1; i <= EVENTS; i++) {
                         Thread.sleep(EVENT_MILLIS);
--- a/review/src/ResetUnframed.java
+++ b/review/src/ResetUnframed.java
@@ -53,6 +53,7 @@
             int served = 0;
             for (int i = 1; i <= REQUESTS; i++) {
                 String attempt = "attempt-" + i;
+                record.line("client sends " + attempt + " with a body of " + BODY_BYTES + " bytes");
                 Client.Answer answer = call(entry, attempt);
                 record.line("client gets for " + attempt + ": " + answer);
                 boolean isSuccess = answer.isComplete() && answer.status / 100 == 2;
