Take only the end of a server's output for the end of an answer without a length

Cause: the HTTP codec reports the end of a response without a length on each close of the connection, and the client passed that on as the end. Only a reset that a read met was a failure. A reset met by a write, a reset that follows the end of output, a cancelled exchange and a stop of the event loops all ended such a response as whole.

Change: half closure makes the end of output an event of its own, and only this event ends a response without a length. If it arrives before the request is written, the rest is written first: the response is whole if the server takes the rest. The send buffer is bounded, as what it holds counts as written.

Why it works: a close that this process or a failed write causes comes without the event, so it can't be taken for the end any more.

--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.net.http.internal.BytesArrivedHandler;
 import io.endiveshed.net.http.internal.ClientConnection;
+import io.endiveshed.net.http.internal.InputEndHandler;
 import io.endiveshed.protocol.Header;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -38,6 +39,12 @@
      */
     private static final int MAX_READS_IN_A_ROW = 4;
 
+    /**
+     * Size in bytes of the send buffer of a connection. What the buffer holds counts as written, although the server may
+     * never read it, so the size bounds how much of a request can be unread when its response without a length ends.
+     */
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
     private final HttpClientOptions options;
@@ -57,6 +64,9 @@
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+                // Reports the end of input, which Netty does not tell from other closes of a connection otherwise.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(64, 2 * 1024, MAX_READ_BYTES)
@@ -70,6 +80,7 @@
                         ClientConnection connection = new ClientConnection(options);
                         channel.pipeline()
                                 .addLast(new BytesArrivedHandler(connection::onBytesArrived))
+                                .addLast(new InputEndHandler(connection::onInputEnded))
                                 .addLast(new HttpClientCodec())
                                 .addLast(connection);
                     }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -42,6 +43,9 @@
     private boolean keepAlive;
     private boolean isSkippingResponse;
     private boolean staleResponseSeen;
+    private boolean inputEnded;
+    private boolean requestWritten;
+    private boolean endAwaitsWrite;
     private int skippedBytes;
     private int requests;
     private long maxIdleMillis;
@@ -98,6 +102,8 @@
         whenFinished = finished;
         isSkippingResponse = false;
         staleResponseSeen = false;
+        requestWritten = false;
+        endAwaitsWrite = false;
         keepAlive = false;
         skippedBytes = 0;
     }
@@ -114,9 +120,19 @@
         }
     }
 
+    /** Records that the server has closed its side in order, before the codec decodes what that ends. */
+    public void onInputEnded() {
+        inputEnded = true;
+    }
+
     /** Writes the request. */
     public void write(FullHttpRequest request) {
-        context.writeAndFlush(request);
+        int number = requests;
+        context.writeAndFlush(request).addListener(written -> {
+            if (number == requests && written.isSuccess()) {
+                onRequestWritten();
+            }
+        });
     }
 
     /** Starts or stops reading from the socket. */
@@ -162,6 +178,29 @@
             listener.received(ByteBufUtil.getBytes(content.content()));
         }
         if (part instanceof LastHttpContent && listener != null) {
+            finishUnlessCutOff();
+        }
+    }
+
+    /**
+     * Ends the exchange at the last part of a response unless it was cut off. The codec also reports a last part of a
+     * response without a length when the connection is closed by a failed write or by this process. The end of input
+     * completes such a response only once the server has taken the whole request: a server that closes a connection with
+     * unread bytes resets it, and the end of its output may arrive before the reset.
+     */
+    private void finishUnlessCutOff() {
+        if (inputEnded && !requestWritten) {
+            endAwaitsWrite = true;
+        } else if (inputEnded || context.channel().isActive()) {
+            finish();
+        } else {
+            fail("connection closed before the end of a response without a length");
+        }
+    }
+
+    private void onRequestWritten() {
+        requestWritten = true;
+        if (endAwaitsWrite && listener != null) {
             finish();
         }
     }
@@ -203,6 +242,13 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !endAwaitsWrite) {
+            ctx.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         fail("connection closed before the response was complete");
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -11,6 +11,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,13 +25,23 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests the HTTP client with servers that repeat an answer or never end it. */
+/** Tests the HTTP client with servers that repeat an answer, cut it short or never end it. */
 final class HttpClientTest {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
     private static final int WAIT_SECONDS = 10;
 
+    private static final int SERVER_RECEIVE_BUFFER_BYTES = 64 * 1024;
+
+    /** More than the socket buffers of a loopback connection hold, so that a part of the body remains unwritten. */
+    private static final int LONG_BODY_BYTES = 64 * 1024 * 1024;
+
+    /** More than the client's send buffer and the server's receive buffer hold, less than the default send buffer. */
+    private static final int MEDIUM_BODY_BYTES = 512 * 1024;
+
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     @AfterEach
@@ -119,6 +130,113 @@
         assertThat(requests.get()).isEqualTo(0);
     }
 
+    /** Guards against an answer without a length that a reset cuts short, seen first by a write, and counts as whole. */
+    @Test
+    void resetMetByAWriteIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            listener.awaitBody();
+            socket.setSoLinger(true, 0);
+        })) {
+            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[LONG_BODY_BYTES], listener);
+            assertThat(listener.outcome()).isEqualTo("failed");
+        }
+    }
+
+    /** Guards against an answer without a length whose reset follows the end of its output, and that counts as whole. */
+    @ParameterizedTest
+    @ValueSource(ints = {MEDIUM_BODY_BYTES, LONG_BODY_BYTES})
+    void resetAfterTheEndOfInputIsNotTheEndOfAnAnswerWhoseRequestIsUnread(int bodyBytes) throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            listener.awaitBody();
+            socket.shutdownOutput();
+            pause();
+            socket.setSoLinger(true, 0);
+        })) {
+            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[bodyBytes], listener);
+            assertThat(listener.outcome()).isEqualTo("failed");
+        }
+    }
+
+    /** Guards against a whole answer without a length that is lost because its server reads the request after it. */
+    @Test
+    void endOfInputEndsAnAnswerWhoseRequestIsReadLater() throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            listener.awaitBody();
+            socket.shutdownOutput();
+            pause();
+            input.transferTo(Writer.nullWriter());
+        })) {
+            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[LONG_BODY_BYTES], listener);
+            assertThat(listener.outcome()).isEqualTo("ended");
+        }
+    }
+
+    /** Guards against an answer without a length that counts as whole because this process closed the connection. */
+    @Test
+    void cancelIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            readHead(input);
+        })) {
+            HttpExchange exchange =
+                    new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
+            listener.awaitBody();
+            exchange.cancel();
+            assertThat(listener.outcome()).isEqualTo("failed");
+        }
+    }
+
+    /** Guards against an answer without a length that counts as whole because this process stopped. */
+    @Test
+    void stopOfTheEventLoopsIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            readHead(input);
+        })) {
+            new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
+            listener.awaitBody();
+            stop();
+            assertThat(listener.outcome()).isEqualTo("failed");
+        }
+    }
+
+    /** Guards against a server that ends a whole answer without a length by closing only its side. */
+    @Test
+    void endOfInputEndsAnAnswerWithoutALength() throws Exception {
+        OutcomeListener listener = new OutcomeListener();
+        try (RawServer server = new RawServer((socket, input) -> {
+            startAnswerWithoutLength(socket, input);
+            listener.awaitBody();
+            socket.shutdownOutput();
+            assertThat(input.readLine()).isNull();
+        })) {
+            new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
+            assertThat(listener.outcome()).isEqualTo("ended");
+        }
+    }
+
+    /** Lets the client see the end of input before what follows. The outcome that a test expects is the same without. */
+    private static void pause() {
+        try {
+            Thread.sleep(200);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void startAnswerWithoutLength(Socket socket, BufferedReader input) throws IOException {
+        readHead(input);
+        send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+    }
+
     private Either<Integer, String> call(HttpClient client, int maxBodyBytes) throws Exception {
         return new HttpCall<>(body -> new String(body, StandardCharsets.UTF_8), maxBodyBytes)
                 .send(client, new ExecutorScheduler(loops), CALL_TIMEOUT, "GET", "/", List.of(), new byte[0])
@@ -156,6 +274,42 @@
         }
     }
 
+    /** Records how an exchange ended. */
+    private static final class OutcomeListener implements HttpResponseListener {
+        private final CountDownLatch bodyArrived = new CountDownLatch(1);
+        private final CompletableFuture<String> outcome = new CompletableFuture<>();
+
+        String outcome() throws Exception {
+            return outcome.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        void awaitBody() {
+            try {
+                assertThat(bodyArrived.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Override
+        public void started(int status, List<Header> headers) {}
+
+        @Override
+        public void received(byte[] bytes) {
+            bodyArrived.countDown();
+        }
+
+        @Override
+        public void ended() {
+            outcome.complete("ended");
+        }
+
+        @Override
+        public void failed(boolean sent, String message) {
+            outcome.complete("failed");
+        }
+    }
+
     /** Serves one connection. */
     private interface ConnectionScript {
         void serve(Socket socket, BufferedReader input) throws IOException;
@@ -163,9 +317,11 @@
 
     /** Server on a loopback socket whose script writes raw bytes. */
     private static final class RawServer implements AutoCloseable {
-        private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        private final ServerSocket server = new ServerSocket();
 
         RawServer(ConnectionScript script) throws IOException {
+            server.setReceiveBufferSize(SERVER_RECEIVE_BUFFER_BYTES);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             Thread acceptor = new Thread(() -> accept(script), "raw-server");
             acceptor.setDaemon(true);
             acceptor.start();
