Do not confirm keys by a desired state that cannot be decoded

Cause: a desired state that cannot be decoded is not put in force, but the call that returned it counted as a confirmation of the former one. So the age limit for keys, which ends keys that an entry can't confirm, never applied.

Change: an event of a feed tells an undecodable object from a deleted one. A call confirms nothing while the newest content of the desired state is not in force. The log has state.unreadable with the versions.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CatalogUpdater.java
@@ -6,11 +6,17 @@
 import io.endiveshed.coordination.service.ServiceCatalog;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
+import java.util.HashSet;
+import java.util.Set;
 
-/** Puts the newest desired state in force. An object that is older or cannot be read is ignored. */
+/**
+ * Puts the newest desired state in force. One that is older is ignored. One that cannot be read leaves the former in
+ * force without a confirmation, so that the keys that it may have withdrawn end with the age limit.
+ */
 final class CatalogUpdater implements FeedFollower.Listener<ServiceCatalog> {
     private final AtomicValue<ServiceCatalog> catalog;
     private final EventLog log;
+    private final Set<String> unreadable = new HashSet<>();
     private long storeVersionInForce = -1;
 
     CatalogUpdater(AtomicValue<ServiceCatalog> catalog, EventLog log) {
@@ -20,16 +26,28 @@
 
     @Override
     public void listed(FeedBatch<ServiceCatalog> batch) {
+        unreadable.clear();
         changed(batch);
     }
 
     @Override
     public void changed(FeedBatch<ServiceCatalog> batch) {
         for (FeedEvent<ServiceCatalog> event : batch.events()) {
-            event.value().ifPresent(candidate -> activateIfNewer(candidate, event.version()));
+            if (event.isUnreadable()) {
+                unreadable.add(event.name());
+                logUnreadable(event);
+            } else {
+                unreadable.remove(event.name());
+                event.value().ifPresent(candidate -> activateIfNewer(candidate, event.version()));
+            }
         }
     }
 
+    @Override
+    public boolean hasAppliedAll() {
+        return unreadable.isEmpty();
+    }
+
     @Override
     public void storeRegained(ClockReading lastFailureStart) {}
 
@@ -48,6 +66,14 @@
                         : event.value().get().version() >= inForce);
     }
 
+    private void logUnreadable(FeedEvent<ServiceCatalog> event) {
+        log.change("state.unreadable")
+                .with("object", event.name())
+                .with("store_version", event.version())
+                .with("in_force", catalog.read().version())
+                .write();
+    }
+
     private void activateIfNewer(ServiceCatalog candidate, long storeVersion) {
         ServiceCatalog previous = catalog.read();
         if (candidate.version() >= previous.version()) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -22,7 +22,8 @@
  *
  * <p>Confined to one event loop. The objects count as confirmed at the start of the call that succeeded, not at its
  * end, because a watch that waits on a dead connection confirms nothing. What is read from an older copy of the store
- * confirms nothing until the objects have been written again.
+ * confirms nothing until the objects have been written again, and nothing is confirmed while the listener has not put
+ * all that was read in force.
  */
 final class FeedFollower<T> {
     /** First delay after a failed call; it doubles with each failure up to the maximum. */
@@ -203,11 +204,14 @@
             whenReachable.run();
         }
         failuresInARow = 0;
-        if (isConfirmation(start, batch, !isWatch)) {
+        boolean confirms = isConfirmation(start, batch, !isWatch);
+        apply.accept(batch);
+        if (confirms) {
             copyUntilNanos = OptionalLong.empty();
-            freshness = Freshness.confirmedAt(start);
+            if (listener.hasAppliedAll()) {
+                freshness = Freshness.confirmedAt(start);
+            }
         }
-        apply.accept(batch);
         long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
         if (delayMillis > 0) {
             requestLater(delayMillis);
@@ -293,6 +297,14 @@
          */
         void storeRegained(ClockReading lastFailureStart);
 
+        /**
+         * Returns whether all objects that were passed on so far are in force. A call confirms nothing while the newest
+         * content of an object is not, because it may have withdrawn what is still in force.
+         */
+        default boolean hasAppliedAll() {
+            return true;
+        }
+
         /** Called when the store has come back from an older copy, before its objects are listed. */
         default void storeRestored() {}
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/CatalogUpdaterTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/CatalogUpdaterTest.java
@@ -47,6 +47,20 @@
         assertThat(updater.showsNewWrite(new FeedBatch<>(List.of(), 36), false)).isFalse();
     }
 
+    /** Guards against a desired state that withdraws a key, cannot be decoded and counts as in force. */
+    @Test
+    void unreadableDesiredStateIsNotInForceUntilAReadableOneFollows() {
+        updater.listed(state(9, 34));
+        updater.changed(new FeedBatch<>(List.of(FeedEvent.unreadable("main", 35)), 35));
+        updater.changed(new FeedBatch<>(List.of(), 36));
+        assertThat(updater.hasAppliedAll()).isFalse();
+        assertThat(catalog.read().version()).isEqualTo(9);
+        updater.changed(state(11, 37));
+        assertThat(updater.hasAppliedAll()).isTrue();
+        updater.listed(new FeedBatch<>(List.of(FeedEvent.unreadable("main", 38)), 38));
+        assertThat(updater.hasAppliedAll()).isFalse();
+    }
+
     private static FeedBatch<ServiceCatalog> state(long version, long storeVersion) {
         return new FeedBatch<>(
                 List.of(new FeedEvent<>(
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -35,6 +35,7 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
+    private boolean hasAppliedAll = true;
     private int outages;
     private long nowMillis;
 
@@ -222,6 +223,22 @@
         assertThat(follower.ageMillis()).isAtMost(100L);
     }
 
+    /** Guards against content that was read, is not in force and counts as confirmed. */
+    @Test
+    void contentThatIsNotInForceConfirmsNothing() {
+        FeedFollower<String> follower = startFollower(PACE);
+        feed.put("first");
+        advance(1_000);
+        hasAppliedAll = false;
+        feed.put("unreadable");
+        advance(6_000);
+        assertThat(follower.ageMillis()).isAtLeast(6_000L);
+        hasAppliedAll = true;
+        feed.put("readable");
+        advance(1_000);
+        assertThat(follower.ageMillis()).isAtMost(PACE.watchTimeout().toMillis() + 1_000);
+    }
+
     /** Guards against objects that stay unknown after any order of changes, outages and returns to copies. */
     @Test
     void objectsAreKnownAfterAnyScheduleOfOutagesAndReturns() {
@@ -392,6 +409,11 @@
             batch.events().forEach(event -> known.add(event.name()));
         }
 
+        @Override
+        public boolean hasAppliedAll() {
+            return hasAppliedAll;
+        }
+
         @Override
         public void storeRegained(ClockReading lastFailureStart) {
             outages++;
--- a/ports/src/main/java/io/endiveshed/ports/platform/FeedEvent.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/FeedEvent.java
@@ -8,6 +8,17 @@
  * @param name name of the object
  * @param version version of the store at the object's last change
  * @param value decoded content; empty if the object was deleted or cannot be decoded
+ * @param isUnreadable whether the object exists and cannot be decoded
  * @param <T> type of the decoded content
  */
-public record FeedEvent<T>(String name, long version, Optional<T> value) {}
+public record FeedEvent<T>(String name, long version, Optional<T> value, boolean isUnreadable) {
+    /** Creates the event of an object that was decoded, or of one that was deleted. */
+    public FeedEvent(String name, long version, Optional<T> value) {
+        this(name, version, value, false);
+    }
+
+    /** Returns the event of an object that exists and cannot be decoded. */
+    public static <T> FeedEvent<T> unreadable(String name, long version) {
+        return new FeedEvent<>(name, version, Optional.empty(), true);
+    }
+}
