Accept any name that the platform chooses for accounts, services and targets

Cause: ids had to have the format that endiveshed asks of its own operators, letters, digits and ._:/- with 128 characters at most. The platform sets no format, and one name that did not fit made the whole desired state undecodable. Ids of targets with other characters were ignored in the same way.

Change: ids of accounts, services, failure domains and instances may be any text of up to 1,024 characters without control characters. The stricter format is checked where settings and configuration files of endiveshed are read, as before.

--- a/base/src/main/java/io/endiveshed/base/id/ClientAccountId.java
+++ b/base/src/main/java/io/endiveshed/base/id/ClientAccountId.java
@@ -3,12 +3,12 @@
 /**
  * Id of a client account.
  *
- * @param value a name of 1 to 128 letters, digits or {@code ._:/-}
+ * @param value a name of 1 to 1024 characters without control characters
  */
 public record ClientAccountId(String value) implements Comparable<ClientAccountId> {
     /** Throws {@link IllegalArgumentException} if the value is malformed. */
     public ClientAccountId {
-        NameFormat.check("client account", value);
+        NameFormat.checkForeign("client account", value);
     }
 
     @Override
--- a/base/src/main/java/io/endiveshed/base/id/FailureDomain.java
+++ b/base/src/main/java/io/endiveshed/base/id/FailureDomain.java
@@ -3,12 +3,12 @@
 /**
  * Name of a failure domain, which is a group of instances that may fail together.
  *
- * @param value a name of 1 to 128 letters, digits or {@code ._:/-}
+ * @param value a name of 1 to 1024 characters without control characters
  */
 public record FailureDomain(String value) implements Comparable<FailureDomain> {
     /** Throws {@link IllegalArgumentException} if the value is malformed. */
     public FailureDomain {
-        NameFormat.check("failure domain", value);
+        NameFormat.checkForeign("failure domain", value);
     }
 
     @Override
--- a/base/src/main/java/io/endiveshed/base/id/ServiceName.java
+++ b/base/src/main/java/io/endiveshed/base/id/ServiceName.java
@@ -3,12 +3,12 @@
 /**
  * Name of a plain service.
  *
- * @param value a name of 1 to 128 letters, digits or {@code ._:/-}
+ * @param value a name of 1 to 1024 characters without control characters
  */
 public record ServiceName(String value) implements Comparable<ServiceName> {
     /** Throws {@link IllegalArgumentException} if the value is malformed. */
     public ServiceName {
-        NameFormat.check("service", value);
+        NameFormat.checkForeign("service", value);
     }
 
     @Override
--- a/cli/src/main/java/io/endiveshed/cli/internal/ConfigurationFiles.java
+++ b/cli/src/main/java/io/endiveshed/cli/internal/ConfigurationFiles.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.ClientAccountId;
 import io.endiveshed.base.id.ModelName;
+import io.endiveshed.base.id.NameFormat;
 import io.endiveshed.base.id.Revision;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.coordination.config.AccountConfig;
@@ -74,7 +75,7 @@
                             name, "\"" + name + "\" is also defined at " + earlierPlace, "remove one of the two");
                 }
                 section.section(name).ifPresent(item -> {
-                    section.parse(name, Optional.of(name), ClientAccountId::new)
+                    section.parse(name, Optional.of(name), NameFormat.checked("client account", ClientAccountId::new))
                             .ifPresent(id -> reader.accept(item, name));
                     item.reportUnknownKeys();
                 });
--- a/cli/src/main/java/io/endiveshed/cli/internal/OfferingsReader.java
+++ b/cli/src/main/java/io/endiveshed/cli/internal/OfferingsReader.java
@@ -1,6 +1,7 @@
 package io.endiveshed.cli.internal;
 
 import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.NameFormat;
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.time.OpeningHours;
 import io.endiveshed.coordination.config.Offering;
@@ -34,8 +35,10 @@
 
     private static Optional<Offering> readItem(Section item) {
         Optional<Region> region = item.parse("region", item.requiredText("region", "north"), Region::new);
-        Optional<FailureDomain> domain =
-                item.parse("failure-domain", item.requiredText("failure-domain", "north-a"), FailureDomain::new);
+        Optional<FailureDomain> domain = item.parse(
+                "failure-domain",
+                item.requiredText("failure-domain", "north-a"),
+                NameFormat.checked("failure domain", FailureDomain::new));
         Optional<OpeningHours> hours = OpeningHoursReader.read(item);
         return region.isPresent() && domain.isPresent() && hours.isPresent()
                 ? Optional.of(new Offering(region.get(), domain.get(), hours.get()))
--- a/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/CallerApi.java
@@ -8,6 +8,7 @@
 import io.endiveshed.base.error.Outcome;
 import io.endiveshed.base.id.IdempotencyKey;
 import io.endiveshed.base.id.ModelName;
+import io.endiveshed.base.id.NameFormat;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.id.TargetKind;
 import io.endiveshed.coordination.blackboard.Blackboard;
@@ -226,7 +227,7 @@
     }
 
     private ServiceConfig service(String name) {
-        return parseName(name, ServiceName::new)
+        return parseName(name, NameFormat.checked("service", ServiceName::new))
                 .flatMap(blackboard.configuration().read()::service)
                 .orElseThrow(() -> failure(ErrorKind.NOT_FOUND, "unknown service \"" + name + "\""));
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
@@ -37,15 +37,22 @@
     void recordResponse(
             Optional<ClientAccount> account, String service, int status, double firstMillis, double totalMillis) {
         registry.counter("gateway.answers;status=" + status).inc();
-        String accountName = account.map(holder -> holder.id().value()).orElse(NO_ACCOUNT);
+        String accountName =
+                account.map(holder -> labelValue(holder.id().value())).orElse(NO_ACCOUNT);
+        String serviceName = labelValue(service);
         if (firstMillis >= 0) {
-            histogram("gateway.first_ms;account=" + accountName + ";service=" + service)
+            histogram("gateway.first_ms;account=" + accountName + ";service=" + serviceName)
                     .update((long) firstMillis);
         }
-        histogram("gateway.total_ms;account=" + accountName + ";service=" + service)
+        histogram("gateway.total_ms;account=" + accountName + ";service=" + serviceName)
                 .update((long) totalMillis);
     }
 
+    /** Returns a name without the character that separates labels in the names of metrics. */
+    private static String labelValue(String name) {
+        return name.replace(';', '_');
+    }
+
     private Histogram histogram(String name) {
         return histogramsByName.computeIfAbsent(
                 name, key -> registry.histogram(key, () -> new Histogram(new UniformReservoir())));
--- a/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
+++ b/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.NameFormat;
 import io.endiveshed.base.id.Region;
 import io.endiveshed.base.time.OpeningHours;
 import java.io.IOException;
@@ -44,9 +45,15 @@
      */
     public static ProcessSettings read(Section root) {
         return new ProcessSettings(
-                root.parse("instance", root.requiredText("instance", "instance-1"), InstanceId::new),
+                root.parse(
+                        "instance",
+                        root.requiredText("instance", "instance-1"),
+                        NameFormat.checked("instance id", InstanceId::new)),
                 root.parse("region", root.requiredText("region", "north"), Region::new),
-                root.parse("failure-domain", root.requiredText("failure-domain", "north-a"), FailureDomain::new),
+                root.parse(
+                        "failure-domain",
+                        root.requiredText("failure-domain", "north-a"),
+                        NameFormat.checked("failure domain", FailureDomain::new)),
                 readAddress(root, "platform", root.text("platform")),
                 readLinkSecret(root),
                 root.duration("stop-grace", MIN_STOP_GRACE, MAX_STOP_GRACE),
