Lift a block by an answer that came after the crashes it rests on

What callers saw: a sound request stayed refused at an entry that learnt of its answer later.

Cause: an answer lifted a block only if it came after the decision to block. It is crashes, though, that an answer refutes: the decision follows them by a fixed delay, and an answer in between left a block without evidence in force. Times of answers are stored in milliseconds, so that one right after the decision could also look older than it, which is what the test met.

Change: an answer also lifts a block if all crashes of which the trait is suspected were before it.

Evidence: answerAfterTheCrashesThatIsKnownAfterTheBlockLiftsIt is new and fails without the change.

--- a/coordination/src/main/java/io/endiveshed/coordination/crash/CrashSuspects.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/crash/CrashSuspects.java
@@ -130,7 +130,8 @@
         Set<RequestTrait> cleared = new HashSet<>();
         for (RequestTrait trait : traits) {
             Block block = blocks.get(trait);
-            boolean wasSuspect = block != null && atNanos - block.sinceNanos >= 0 && blocks.remove(trait) != null;
+            boolean isRefuted = block != null && (atNanos - block.sinceNanos >= 0 || isAfterCrashesOf(trait, atNanos));
+            boolean wasSuspect = isRefuted && blocks.remove(trait) != null;
             for (Crash crash : crashes.values()) {
                 wasSuspect |= atNanos - crash.atNanos >= 0 && crash.suspects.remove(trait);
             }
@@ -339,6 +340,12 @@
                         && own.size() - other.getValue() < CrashAttribution.MIN_CRASHES);
     }
 
+    /** Returns whether all crashes of which a trait is suspected were before the given time. */
+    private boolean isAfterCrashesOf(RequestTrait trait, long atNanos) {
+        Set<Crash> suspected = suspectedCrashesOf(trait);
+        return !suspected.isEmpty() && suspected.stream().allMatch(crash -> atNanos - crash.atNanos >= 0);
+    }
+
     private Set<Crash> suspectedCrashesOf(RequestTrait trait) {
         return crashes.values().stream()
                 .filter(crash -> crash.suspects.contains(trait))
--- a/coordination/src/test/java/io/endiveshed/coordination/crash/CrashSuspectsTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/crash/CrashSuspectsTest.java
@@ -214,6 +214,19 @@
         assertThat(isBlocked("request-sound")).isFalse();
     }
 
+    /** Guards against a sound request that stays refused although it was answered after all of its crashes. */
+    @Test
+    void answerAfterTheCrashesThatIsKnownAfterTheBlockLiftsIt() {
+        for (int i = 0; i < 3; i++) {
+            crash("request-sound");
+        }
+        nowNanos += MILLI;
+        long answeredNanos = nowNanos;
+        assertThat(decide()).containsExactly("request-sound");
+        assertThat(suspects.answered(named("request-sound"), answeredNanos)).isNotEmpty();
+        assertThat(isBlocked("request-sound")).isFalse();
+    }
+
     /** Guards against targets that crash for ever because two requests always come together. */
     @Test
     void requestsThatAlwaysCrashTargetsTogetherAreBlockedForLonger() {
