Answer the requests that are still open at the end of a planned stop

What callers saw, as another operator reports: in a planned stop, requests that were passed on were cut at the end of the grace period with no answer, among them calls that must not be repeated.

Cause: at the end of the grace period all connections were closed, whatever their requests were doing. A request that had not been sent to any target was cut like one that may have run.

Change: open requests are ended with an answer before the connections close: 503 if the request has not run, 502 with an unknown outcome if it may have. A stream that has begun is cut.

--- a/gateway/src/main/java/io/endiveshed/gateway/GracefulStop.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GracefulStop.java
@@ -5,8 +5,8 @@
 import java.time.Duration;
 
 /**
- * Runs the steps of a graceful shutdown: reports not ready, waits for the load balancer, refuses new requests and
- * waits for the open ones.
+ * Runs the steps of a graceful shutdown: reports not ready, waits for the load balancer, refuses new requests,
+ * waits for the open ones and answers those that remain at the end of the grace period.
  */
 final class GracefulStop {
     /**
@@ -48,6 +48,7 @@
         callerServer.closeIdle(Duration.ZERO);
         components.refuseNewRequests();
         waitUntil(startNanos, graceNanos, IDLE_BEFORE_EXIT.toNanos());
+        components.endOpenRequests();
     }
 
     /** Waits until the given time since the start has passed, or no request was open for the idle time. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -408,6 +408,21 @@
     }
 
     private void deadlineReached() {
+        breakOff(Failure.of(ErrorKind.DEADLINE_EXCEEDED)
+                .message("no answer within the time limit")
+                .outcome(Outcome.UNKNOWN)
+                .build());
+    }
+
+    /** Ends the request because its process is about to end: with an answer, unless a stream has begun. */
+    void processEnds() {
+        breakOff(Failure.of(ErrorKind.STOPPING)
+                .message("this entry stopped before the request was answered")
+                .retryAfter(DEFAULT_RETRY_DELAY)
+                .build());
+    }
+
+    private void breakOff(Failure failure) {
         if (isFinished) {
             return;
         }
@@ -418,10 +433,7 @@
         cancelExchange();
         endAttempt();
         mayHaveRun |= isRunning;
-        fail(Failure.of(ErrorKind.DEADLINE_EXCEEDED)
-                .message("no answer within the time limit")
-                .outcome(Outcome.UNKNOWN)
-                .build());
+        fail(failure);
     }
 
     private void callerDisconnected() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -229,6 +229,11 @@
         loop.execute(forwarder::refuseNewRequests);
     }
 
+    /** Answers the requests that are still open, because the process is about to end; returns when it is done. */
+    public void endOpenRequests() {
+        loop.submit(forwarder::endOpenRequests).syncUninterruptibly();
+    }
+
     /** Returns the number of forwarded requests whose response has not ended. */
     public int openRequestCount() {
         return forwarder.openRequestCount();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestForwarder.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestForwarder.java
@@ -13,7 +13,11 @@
 import io.endiveshed.net.http.ResponseSink;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Admits or rejects each request of a caller and forwards the admitted ones. Confined to one event loop. */
 final class RequestForwarder implements HttpHandler {
@@ -26,6 +30,7 @@
     private final GatewayContext context;
     private final StartupRequestQueue startupQueue;
     private boolean refusesNew;
+    private final Set<ForwardedRequest> openRequests = new HashSet<>();
     private int openRequestCount;
 
     RequestForwarder(GatewayContext context, StartupRequestQueue startupQueue) {
@@ -38,6 +43,11 @@
         refusesNew = true;
     }
 
+    /** Ends all open requests, because the process is about to end. */
+    void endOpenRequests() {
+        List.copyOf(openRequests).forEach(ForwardedRequest::processEnds);
+    }
+
     /** Returns the number of forwarded requests whose response has not ended. */
     int openRequestCount() {
         return openRequestCount;
@@ -103,7 +113,15 @@
                 arrivedNanos,
                 arrivedNanos + Duration.ofMillis(timeoutMillis).toNanos());
         openRequestCount++;
-        new ForwardedRequest(context, request, sink, () -> openRequestCount--).start();
+        AtomicReference<ForwardedRequest> forwarded = new AtomicReference<>();
+        forwarded.set(new ForwardedRequest(context, request, sink, () -> ended(forwarded.get())));
+        openRequests.add(forwarded.get());
+        forwarded.get().start();
+    }
+
+    private void ended(ForwardedRequest request) {
+        openRequests.remove(request);
+        openRequestCount--;
     }
 
     /** Returns a number in [0, 1) that depends only on the request's id. */
