--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -133,60 +133,49 @@
     /** Guards against an answer without a length that a reset cuts short, seen first by a write, and counts as whole. */
     @Test
     void resetMetByAWriteIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
-        OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            listener.awaitBody();
-            socket.setSoLinger(true, 0);
-        })) {
-            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[LONG_BODY_BYTES], listener);
-            assertThat(listener.outcome()).isEqualTo("failed");
-        }
+        String outcome = outcomeOfPost(LONG_BODY_BYTES, (socket, input) -> socket.setSoLinger(true, 0));
+        assertThat(outcome).isEqualTo("failed");
     }
 
     /** Guards against an answer without a length whose reset follows the end of its output, and that counts as whole. */
     @ParameterizedTest
     @ValueSource(ints = {MEDIUM_BODY_BYTES, LONG_BODY_BYTES})
     void resetAfterTheEndOfInputIsNotTheEndOfAnAnswerWhoseRequestIsUnread(int bodyBytes) throws Exception {
-        OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            listener.awaitBody();
+        String outcome = outcomeOfPost(bodyBytes, (socket, input) -> {
             socket.shutdownOutput();
             pause();
             socket.setSoLinger(true, 0);
-        })) {
-            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[bodyBytes], listener);
-            assertThat(listener.outcome()).isEqualTo("failed");
-        }
+        });
+        assertThat(outcome).isEqualTo("failed");
     }
 
     /** Guards against a whole answer without a length that is lost because its server reads the request after it. */
     @Test
     void endOfInputEndsAnAnswerWhoseRequestIsReadLater() throws Exception {
-        OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            listener.awaitBody();
+        String outcome = outcomeOfPost(LONG_BODY_BYTES, (socket, input) -> {
             socket.shutdownOutput();
             pause();
             input.transferTo(Writer.nullWriter());
-        })) {
-            new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[LONG_BODY_BYTES], listener);
-            assertThat(listener.outcome()).isEqualTo("ended");
-        }
+        });
+        assertThat(outcome).isEqualTo("ended");
+    }
+
+    /** Guards against a server that ends a whole answer without a length by closing only its side. */
+    @Test
+    void endOfInputEndsAnAnswerWithoutALength() throws Exception {
+        String outcome = outcomeOfPost(0, (socket, input) -> {
+            socket.shutdownOutput();
+            assertThat(input.readLine()).isNull();
+        });
+        assertThat(outcome).isEqualTo("ended");
     }
 
     /** Guards against an answer without a length that counts as whole because this process closed the connection. */
     @Test
     void cancelIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
         OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            readHead(input);
-        })) {
-            HttpExchange exchange =
-                    new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
+        try (RawServer server = answerWithoutLength(listener, (socket, input) -> readHead(input))) {
+            HttpExchange exchange = post(server, 0, listener);
             listener.awaitBody();
             exchange.cancel();
             assertThat(listener.outcome()).isEqualTo("failed");
@@ -197,11 +186,8 @@
     @Test
     void stopOfTheEventLoopsIsNotTheEndOfAnAnswerWithoutALength() throws Exception {
         OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            readHead(input);
-        })) {
-            new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
+        try (RawServer server = answerWithoutLength(listener, (socket, input) -> readHead(input))) {
+            post(server, 0, listener);
             listener.awaitBody();
             stop();
             // All tasks of the loops have run. A loop that stops may leave a failure unreported.
@@ -209,21 +195,30 @@
         }
     }
 
-    /** Guards against a server that ends a whole answer without a length by closing only its side. */
-    @Test
-    void endOfInputEndsAnAnswerWithoutALength() throws Exception {
+    /** Returns how an exchange ends whose server sends a part of an answer without a length and then runs a script. */
+    private String outcomeOfPost(int bodyBytes, ConnectionScript afterPart) throws Exception {
         OutcomeListener listener = new OutcomeListener();
-        try (RawServer server = new RawServer((socket, input) -> {
-            startAnswerWithoutLength(socket, input);
-            listener.awaitBody();
-            socket.shutdownOutput();
-            assertThat(input.readLine()).isNull();
-        })) {
-            new HttpClient(loops, server.address()).send("GET", "/", List.of(), new byte[0], listener);
-            assertThat(listener.outcome()).isEqualTo("ended");
+        try (RawServer server = answerWithoutLength(listener, afterPart)) {
+            post(server, bodyBytes, listener);
+            return listener.outcome();
         }
     }
 
+    /** Starts a server that runs the script once a part of its answer without a length has reached the listener. */
+    private static RawServer answerWithoutLength(OutcomeListener listener, ConnectionScript afterPart)
+            throws IOException {
+        return new RawServer((socket, input) -> {
+            readHead(input);
+            send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+            listener.awaitBody();
+            afterPart.serve(socket, input);
+        });
+    }
+
+    private HttpExchange post(RawServer server, int bodyBytes, HttpResponseListener listener) {
+        return new HttpClient(loops, server.address()).send("POST", "/", List.of(), new byte[bodyBytes], listener);
+    }
+
     /** Lets the client see the end of input before what follows. The outcome that a test expects is the same without. */
     private static void pause() {
         try {
@@ -233,11 +228,6 @@
         }
     }
 
-    private static void startAnswerWithoutLength(Socket socket, BufferedReader input) throws IOException {
-        readHead(input);
-        send(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
-    }
-
     private Either<Integer, String> call(HttpClient client, int maxBodyBytes) throws Exception {
         return new HttpCall<>(body -> new String(body, StandardCharsets.UTF_8), maxBodyBytes)
                 .send(client, new ExecutorScheduler(loops), CALL_TIMEOUT, "GET", "/", List.of(), new byte[0])
