Wait in the test server until the kernel has released its port

Cause: RawServer.close closed the listening socket while a thread waited in accept. The kernel keeps the port open until that thread has left the call, so that a probe right after it may still be accepted.

Change: close waits for the thread.

The assertion is the same.

--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -313,11 +313,12 @@
     /** Server on a loopback socket whose script writes raw bytes. */
     private static final class RawServer implements AutoCloseable {
         private final ServerSocket server = new ServerSocket();
+        private final Thread acceptor;
 
         RawServer(ConnectionScript script) throws IOException {
             server.setReceiveBufferSize(SERVER_RECEIVE_BUFFER_BYTES);
             server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            Thread acceptor = new Thread(() -> accept(script), "raw-server");
+            acceptor = new Thread(() -> accept(script), "raw-server");
             acceptor.setDaemon(true);
             acceptor.start();
         }
@@ -329,6 +330,12 @@
         @Override
         public void close() throws IOException {
             server.close();
+            try {
+                // The kernel keeps the port open until the thread that waits in accept has returned.
+                acceptor.join();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
         }
 
         private void accept(ConnectionScript script) {
