Give each target one status that names why it gets no request

A pause, a limit and a leave were asked for in separate methods of TargetRuntime, and a refused caller was told one common text for all of them. TargetStatus now holds reason and wait, RequestGate is one restriction, and pickers, sends and the Retry-After of refused callers ask the same list of gates. Behaviour is unchanged except for the text of the refusal, which names the reason of the target that is available first.

--- a/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/TargetLimit.java
@@ -1,5 +1,7 @@
 package io.endiveshed.coordination.limit;
 
+import io.endiveshed.coordination.availability.RequestGate;
+import io.endiveshed.coordination.availability.TargetStatus;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
@@ -19,7 +21,7 @@
  * }
  * }</pre>
  */
-public final class TargetLimit {
+public final class TargetLimit implements RequestGate {
     /**
      * Lowest limit in requests a second that is kept to. A target that takes none at all gets a request now and then,
      * since only its answers tell that the limit has ended.
@@ -114,6 +116,18 @@
         share = newShare;
     }
 
+    @Override
+    public TargetStatus status(long nowNanos) {
+        return allowsRequest(nowNanos)
+                ? TargetStatus.AVAILABLE
+                : TargetStatus.unavailable(TargetStatus.Reason.RATE_LIMITED, waitMillis(nowNanos));
+    }
+
+    @Override
+    public void acquire(long nowNanos) {
+        tryAcquire(nowNanos);
+    }
+
     /** Returns whether a request may be sent now. */
     public boolean allowsRequest(long nowNanos) {
         return requestsPerSecond.isEmpty() || permits(nowNanos) >= 1;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -83,8 +83,8 @@
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
             ServiceName service = request.service().name();
-            Optional<Duration> wait = TargetPauses.shortest(targets.usableOf(service), nowNanos);
-            return refuse(TargetPauses.reason(service, wait), wait.orElse(NO_ENGINE_RETRY_DELAY));
+            TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
+            return refuse(pauses.reason(), pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY));
         }
         return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
                 .fold(
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -7,7 +7,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -45,10 +44,10 @@
             best = cheapest(request, candidates, excluded, true, nowNanos);
         }
         if (best == null) {
-            Optional<Duration> wait = TargetPauses.shortest(candidates, nowNanos);
+            TargetPauses pauses = TargetPauses.of(request.service().name(), candidates, nowNanos);
             return Either.left(Failure.of(ErrorKind.NO_TARGET)
-                    .message(TargetPauses.reason(request.service().name(), wait))
-                    .retryAfter(wait.orElse(NO_TARGET_RETRY_DELAY))
+                    .message(pauses.reason())
+                    .retryAfter(pauses.retryAfter().orElse(NO_TARGET_RETRY_DELAY))
                     .build());
         }
         best.requestStarted();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -1,12 +1,16 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.coordination.availability.PauseGate;
+import io.endiveshed.coordination.availability.RequestGate;
+import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.engine.EngineBacklog;
 import io.endiveshed.coordination.limit.TargetLimit;
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -14,15 +18,17 @@
  * Confined to one event loop.
  */
 final class TargetRuntime {
+    private static final TargetStatus LEAVING = TargetStatus.unavailable(TargetStatus.Reason.LEAVING, 0);
+
     private final HttpClient client;
     private final EngineBacklog backlog = new EngineBacklog();
     private final TargetFailureHistory failureHistory = new TargetFailureHistory();
     private final TargetLimit limit;
+    private final PauseGate pause = new PauseGate();
+    private final List<RequestGate> gates = new ArrayList<>();
     private final Consumer<TargetRuntime> whenLeaving;
     private TargetInstance instance;
     private boolean isUsable = true;
-    private long pausedNanos;
-    private long pauseMillis;
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
@@ -35,6 +41,13 @@
         this.whenLeaving = whenLeaving;
         this.instance = instance;
         this.client = client;
+        gates.add(pause);
+        gates.add(limit);
+    }
+
+    /** Adds a restriction on the requests that the target gets. */
+    void addGate(RequestGate gate) {
+        gates.add(gate);
     }
 
     TargetInstance instance() {
@@ -73,12 +86,7 @@
 
     /** Records that the target wants no requests for some time; a shorter time does not end a longer one. */
     void pause(Duration duration, long nowNanos) {
-        pauseMillis = Math.max(remainingPauseMillis(nowNanos), duration.toMillis());
-        pausedNanos = nowNanos;
-    }
-
-    private long remainingPauseMillis(long nowNanos) {
-        return Math.max(0, pauseMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - pausedNanos));
+        pause.pause(duration, nowNanos);
     }
 
     /** Returns the limit that the target names, and this entry's share of it. */
@@ -86,19 +94,27 @@
         return limit;
     }
 
-    /** Returns after how many milliseconds the target takes a request of this entry; 0 if it takes one now. */
-    long millisUntilRequest(long nowNanos) {
-        return Math.max(remainingPauseMillis(nowNanos), limit.waitMillis(nowNanos));
+    /** Returns whether the target may get a request of this entry now; if not, why, and for how long. */
+    TargetStatus status(long nowNanos) {
+        TargetStatus status = isUsable ? TargetStatus.AVAILABLE : LEAVING;
+        for (RequestGate gate : gates) {
+            status = status.and(gate.status(nowNanos));
+        }
+        return status;
     }
 
     /** Returns whether the target may get a new request at this moment. */
     boolean mayGetRequests(long nowNanos) {
-        return isUsable && millisUntilRequest(nowNanos) == 0;
+        return status(nowNanos).isAvailable();
     }
 
-    /** Returns whether a request may be written to the target now; if so, it counts against the target's limit. */
+    /** Returns whether a request may be written to the target now; if so, it counts against all restrictions. */
     boolean tryAcquireRequest(long nowNanos) {
-        return isUsable && remainingPauseMillis(nowNanos) == 0 && limit.tryAcquire(nowNanos);
+        if (!mayGetRequests(nowNanos)) {
+            return false;
+        }
+        gates.forEach(gate -> gate.acquire(nowNanos));
+        return true;
     }
 
     /** Returns the number of requests of this entry that are assigned to the target. */
