Limit what cold targets get to their rate, divided among the entries

A target that has just started got as many requests as a warm one. The operator bounds what a cold target receives in any second from all entries together (rate x overshoot + allowance), also while entries cannot reach the store or each other.

Each target now has a ColdStartGate, fed by its object in the store, response fields, observed starts, heartbeats of other entries, broken exchanges and crashes. While the target is cold, an entry sends it requests and commands at a minimum interval (ColdShare). Entries are selected and ranked as for named limits (SharingEntries, EntryRanking). New settings bounds.cold-overshoot and bounds.cold-allowance. Services without coldPerS are served as before.

--- a/coordination/src/main/java/io/endiveshed/coordination/limit/LimitShare.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/LimitShare.java
@@ -1,7 +1,6 @@
 package io.endiveshed.coordination.limit;
 
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.coordination.membership.RendezvousHash;
 import java.util.Set;
 
 /**
@@ -51,24 +50,13 @@
         }
         double burst = FIXED_BURST + BURST_SECONDS * limitPerSecond;
         int sharing = (int) Math.min(entries.size(), Math.floor(burst));
-        long weight = weight(target, self);
-        long ahead = entries.stream()
-                .filter(entry -> isAhead(entry, weight(target, entry), self, weight))
-                .limit(sharing)
-                .count();
-        return ahead >= sharing ? NONE : new LimitShare(limitPerSecond * USED_PART / sharing, burst / sharing);
+        return EntryRanking.isAmongFirst(sharing, target, self, entries)
+                ? new LimitShare(limitPerSecond * USED_PART / sharing, burst / sharing)
+                : NONE;
     }
 
     /** Returns the mean time in milliseconds between two requests that all entries together send under a limit. */
     static double meanIntervalMillis(double limitPerSecond) {
         return 1_000 / (limitPerSecond * USED_PART);
     }
-
-    private static long weight(InstanceId target, InstanceId entry) {
-        return RendezvousHash.weight(target.value(), entry.value());
-    }
-
-    private static boolean isAhead(InstanceId entry, long entryWeight, InstanceId other, long otherWeight) {
-        return entryWeight > otherWeight || (entryWeight == otherWeight && entry.compareTo(other) < 0);
-    }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/package-info.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/package-info.java
@@ -1,2 +1,2 @@
-/** Limits on requests that targets name, and how entries divide them. */
+/** Limits on the requests to targets that name one or are cold, and how entries divide them. */
 package io.endiveshed.coordination.limit;
--- a/coordination/src/main/java/io/endiveshed/coordination/service/ServiceRule.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/ServiceRule.java
@@ -12,10 +12,22 @@
  * @param connectionLimit maximum number of connections that one target accepts from all callers together
  * @param engineCosts cost model of its targets; empty for a plain service
  * @param delays network delays between the failure domains of its targets
+ * @param coldStart how its targets start
  */
 public record ServiceRule(
         ServiceName name,
         String healthPath,
         int connectionLimit,
         Optional<EngineCostModel> engineCosts,
-        DomainDelays delays) {}
+        DomainDelays delays,
+        ColdStart coldStart) {
+    /** Creates a service whose targets are never limited because they are cold. */
+    public ServiceRule(
+            ServiceName name,
+            String healthPath,
+            int connectionLimit,
+            Optional<EngineCostModel> engineCosts,
+            DomainDelays delays) {
+        this(name, healthPath, connectionLimit, engineCosts, delays, ColdStart.NONE);
+    }
+}
--- a/coordination/src/main/java/io/endiveshed/coordination/service/TargetInstance.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/TargetInstance.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
+import java.util.Optional;
 
 /**
  * A target in the list of the platform.
@@ -14,6 +15,7 @@
  * @param slots number of requests that it runs at once
  * @param draining whether it is about to stop and must get no new requests
  * @param startedMillis Unix time of its start in milliseconds, 0 if unknown; distinguishes two starts under one name
+ * @param cold what its object says of its cold time; empty if nothing that can be decoded
  */
 public record TargetInstance(
         InstanceId id,
@@ -22,4 +24,17 @@
         FailureDomain domain,
         int slots,
         boolean draining,
-        long startedMillis) {}
+        long startedMillis,
+        Optional<ColdReading> cold) {
+    /** Creates a target whose object does not name a cold time. */
+    public TargetInstance(
+            InstanceId id,
+            ServiceName service,
+            Endpoint endpoint,
+            FailureDomain domain,
+            int slots,
+            boolean draining,
+            long startedMillis) {
+        this(id, service, endpoint, domain, slots, draining, startedMillis, Optional.empty());
+    }
+}
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/LimitShareTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitShareTest.java
@@ -53,7 +53,7 @@
         }
     }
 
-    private static void disturb(LimitSimulation simulation, int entries) {
+    static void disturb(LimitSimulation simulation, int entries) {
         Random random = simulation.random();
         List<InstanceId> ids = simulation.ids();
         int kind = random.nextInt(8);
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
@@ -1,6 +1,8 @@
 package io.endiveshed.coordination.limit;
 
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.service.ColdReading;
+import io.endiveshed.coordination.service.ColdStart;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -30,8 +32,17 @@
     private static final int MAX_HEARTBEAT_DELAY_MILLIS = 300;
 
     private static final long LIST_DELAY_MILLIS = 100;
+    private static final long SHARE_LIFETIME_MILLIS = 1_500;
     private static final long WINDOW_MILLIS = 4_000;
 
+    /** Seconds over which the requests to a cold target are bounded, and the time for which one may be under way. */
+    private static final long COLD_WINDOW_MILLIS = 1_000;
+
+    private static final int MAX_REQUEST_DELAY_MILLIS = 50;
+
+    /** Longest time until an entry has read the object of a target that started, with contact to the store. */
+    private static final int MAX_READ_DELAY_MILLIS = 1_000;
+
     /** Time after an answer with the limit from which requests of its receiver count. */
     private static final long TOLD_MILLIS = 500;
 
@@ -43,6 +54,11 @@
     private final Set<InstanceId> listed = new HashSet<>();
     private int listVersion;
     private final Deque<Long> counted = new ArrayDeque<>();
+    private final List<Long> coldArrivals = new ArrayList<>();
+    private ColdStart coldStart = ColdStart.NONE;
+    private ColdBounds coldBounds = ColdBounds.DEFAULTS;
+    private Fault fault = Fault.NONE;
+    private long coldFromMillis;
     private boolean namesLimit;
     private long nowMillis;
     private int started;
@@ -55,6 +71,41 @@
         addEntries(entryCount);
     }
 
+    /** Broken variants of the product that the tests must detect. */
+    enum Fault {
+        NONE,
+        SHARE_KEPT_WHEN_ENTRIES_JOIN,
+        COLD_TIME_COUNTED_FROM_TOO_EARLY,
+        WHOLE_RATE_WITHOUT_CONTACT
+    }
+
+    /** Starts the target anew and cold; entries know it once they have read its object. */
+    void startCold(ColdStart rule, ColdBounds bounds, Fault plantedFault) {
+        coldStart = rule;
+        coldBounds = bounds;
+        fault = plantedFault;
+        coldFromMillis = nowMillis;
+    }
+
+    private boolean isCold() {
+        return coldStart.isLimited()
+                && nowMillis < coldFromMillis + coldStart.duration().toMillis();
+    }
+
+    /** Returns the most requests that the target has received within a second while it was cold. */
+    int mostWhileCold() {
+        List<Long> sorted = coldArrivals.stream().sorted().toList();
+        int mostSoFar = 0;
+        int first = 0;
+        for (int last = 0; last < sorted.size(); last++) {
+            while (sorted.get(first) <= sorted.get(last) - COLD_WINDOW_MILLIS) {
+                first++;
+            }
+            mostSoFar = Math.max(mostSoFar, last - first + 1);
+        }
+        return mostSoFar;
+    }
+
     Random random() {
         return random;
     }
@@ -142,7 +193,11 @@
                 if ((nowMillis + entry.phaseMillis) % HEARTBEAT_MILLIS == 0) {
                     entry.heartbeat(active);
                 }
-                entry.send();
+                if (coldStart.isLimited()) {
+                    entry.sendCold();
+                } else {
+                    entry.send();
+                }
             }
         }
     }
@@ -164,7 +219,13 @@
         private int knownVersion;
         private boolean isOutdated = true;
         private boolean hadStoreContact;
-        private Set<InstanceId> sharing = Set.of();
+        private SharingEntries selection = SharingEntries.NONE;
+        private final ColdStartGate gate = new ColdStartGate(() -> coldStart);
+        private final long readDelayMillis = random.nextInt(MAX_READ_DELAY_MILLIS);
+        private boolean hasReadTarget;
+        private ColdShare coldShare = ColdShare.NONE;
+        private long sharingSinceNanos;
+        private long lastHeartbeatMillis;
         private long storeReadMillis = Long.MIN_VALUE;
         private long frozenUntilMillis;
         private long storeCutUntilMillis;
@@ -178,6 +239,18 @@
         private void readStore() {
             if (nowMillis >= storeCutUntilMillis && nowMillis - startedMillis >= LIST_DELAY_MILLIS) {
                 storeReadMillis = nowMillis;
+                if (coldStart.isLimited()
+                        && !hasReadTarget
+                        && nowMillis - Math.max(startedMillis, coldFromMillis) >= readDelayMillis) {
+                    hasReadTarget = true;
+                    boolean isEarly = fault == Fault.COLD_TIME_COUNTED_FROM_TOO_EARLY;
+                    gate.observeStored(
+                            new ColdReading(
+                                    coldStart.duration().toMillis(),
+                                    nowNanos() - (isEarly ? coldStart.duration().toNanos() / 2 : 0)),
+                            1,
+                            false);
+                }
                 if (knownVersion != listVersion) {
                     knownVersion = listVersion;
                     known = Set.copyOf(listed);
@@ -198,16 +271,48 @@
                     }
                 }
             }
+            boolean wasSuspended = nowMillis - lastHeartbeatMillis > SHARE_LIFETIME_MILLIS;
+            lastHeartbeatMillis = nowMillis;
             isOutdated |= heardMillis.values().removeIf(heard -> nowMillis - heard > PEER_TIMEOUT_MILLIS);
             boolean hasStoreContact = storeReadMillis >= 0 && nowMillis - storeReadMillis <= CONTACT_WINDOW_MILLIS;
             if (isOutdated || hasStoreContact != hadStoreContact) {
                 isOutdated = false;
                 hadStoreContact = hasStoreContact;
-                sharing = known.isEmpty()
-                        ? Set.of()
+                SharingEntries before = selection;
+                selection = known.isEmpty()
+                        ? SharingEntries.NONE
                         : SharingEntries.select(id, known, heardMillis.keySet(), hasStoreContact);
+                wasSuspended |= !selection.equals(before);
                 share();
             }
+            shareCold(wasSuspended);
+        }
+
+        private void shareCold(boolean isChanged) {
+            if (!coldStart.isLimited()) {
+                return;
+            }
+            boolean isAlone = fault == Fault.WHOLE_RATE_WITHOUT_CONTACT && !selection.hasContact();
+            SharingEntries divided = isAlone ? new SharingEntries(Set.of(id), true, true) : selection;
+            sharingSinceNanos = isChanged ? nowNanos() : sharingSinceNanos;
+            ColdShare next = ColdShare.of(coldStart, coldBounds, TARGET, id, divided);
+            boolean isKept = fault == Fault.SHARE_KEPT_WHEN_ENTRIES_JOIN && coldShare.allowsRequests();
+            coldShare = isKept ? coldShare : next;
+            gate.setShare(coldShare, sharingSinceNanos, nowNanos());
+        }
+
+        /** Sends a request whenever the gate lets one through. */
+        private void sendCold() {
+            while (hasReadTarget && gate.status(nowNanos()).isAvailable()) {
+                gate.acquire(nowNanos());
+                sent++;
+                if (isCold()) {
+                    coldArrivals.add(nowMillis + random.nextInt(MAX_REQUEST_DELAY_MILLIS));
+                }
+                if (!gate.isCold(nowNanos())) {
+                    return;
+                }
+            }
         }
 
         private void receiveNotices() {
@@ -222,8 +327,8 @@
         private void share() {
             targetLimit
                     .requestsPerSecond()
-                    .ifPresent(perSecond ->
-                            targetLimit.setShare(LimitShare.of(perSecond, TARGET, id, sharing), nowNanos()));
+                    .ifPresent(perSecond -> targetLimit.setShare(
+                            LimitShare.of(perSecond, TARGET, id, selection.entries()), nowNanos()));
         }
 
         private void receiveAnswers() {
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.limit.ColdBounds;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -39,6 +40,7 @@
      * @param unusedMemory time for which memory of an engine may stay reserved without a request that uses it
      * @param retryShare retries allowed per request, over all gateways
      * @param retryAllowance retries allowed in addition to that share, over all gateways
+     * @param cold requests that a cold target may get beyond its rate
      */
     public record Bounds(
             Duration revocation,
@@ -48,7 +50,8 @@
             Duration drain,
             Duration unusedMemory,
             double retryShare,
-            double retryAllowance) {}
+            double retryAllowance,
+            ColdBounds cold) {}
 
     /**
      * Limits of what a target may send. A target that exceeds one of them counts as failed and its connection is closed.
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.settings.Section;
 import io.endiveshed.settings.SettingsError;
@@ -23,6 +24,8 @@
     private static final Duration DEFAULT_DRAIN = Duration.ofSeconds(2);
     private static final Duration DEFAULT_UNUSED_MEMORY = Duration.ofSeconds(9);
     private static final double MAX_RETRY_ALLOWANCE = 1_000_000;
+    private static final double MAX_COLD_OVERSHOOT = 1_000;
+    private static final double MAX_COLD_ALLOWANCE = 1_000_000;
     private static final long MIN_RESPONSE_BYTES = 1024;
     private static final long MAX_RESPONSE_BYTES = 1024L * 1024 * 1024;
 
@@ -109,6 +112,7 @@
         Optional<Double> share = section.parse(
                 "retry-share", section.requiredText("retry-share", "0.2"), GatewaySettingsFile::parseShare);
         Optional<Double> allowance = section.decimal("retry-allowance", 0, MAX_RETRY_ALLOWANCE);
+        ColdBounds cold = readColdBounds(section);
         section.reportUnknownKeys();
         if (revocation.isEmpty() || apply.isEmpty() || grace.isEmpty() || share.isEmpty()) {
             return Optional.empty();
@@ -121,7 +125,14 @@
                 drain,
                 unusedMemory,
                 share.get(),
-                allowance.orElse(0.0)));
+                allowance.orElse(0.0),
+                cold));
+    }
+
+    private static ColdBounds readColdBounds(Section section) {
+        return new ColdBounds(
+                section.decimal("cold-overshoot", 0, MAX_COLD_OVERSHOOT).orElse(ColdBounds.DEFAULTS.overshoot()),
+                section.decimal("cold-allowance", 0, MAX_COLD_ALLOWANCE).orElse(ColdBounds.DEFAULTS.allowance()));
     }
 
     private static Optional<Duration> readDuration(Section section, String key) {
--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * Status and decoded header fields of a target's response.
@@ -14,6 +15,7 @@
  * @param isLeaving whether the target says that it leaves and wants no further requests
  * @param pause time for which the target wants no requests; empty if it does not say so
  * @param requestsPerSecond requests a second that the target takes from all entries together; empty if it names no limit
+ * @param coldRemainingMillis time in milliseconds for which the target remains cold; empty if it does not say so
  * @param failedDependency address of the engine that the target names as the cause of the failure
  */
 public record TargetResponseHead(
@@ -23,6 +25,7 @@
         boolean isLeaving,
         Optional<Duration> pause,
         OptionalDouble requestsPerSecond,
+        OptionalLong coldRemainingMillis,
         Optional<Endpoint> failedDependency) {
     private static final int MISDIRECTED_REQUEST = 421;
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 /**
  * Notices targets that crash, shares them with the other entries by datagrams and through the store, and refuses requests
@@ -36,6 +37,7 @@
     private final CrashRegistry registry;
     private final CrashDetector detector;
     private final EventLoop loop;
+    private Consumer<TargetCrash> whenCrashed = crash -> {};
     private final GatewayMetrics metrics;
     private final EventLog log;
     private CrashNotices peers = CrashNotices.NONE;
@@ -63,6 +65,11 @@
         peers = notices;
     }
 
+    /** Sets an action for each crash that this entry or another has seen. */
+    void whenCrashed(Consumer<TargetCrash> action) {
+        whenCrashed = action;
+    }
+
     /** Records that the answer to a request broke off or is missing, and finds out whether its target has crashed. */
     void attemptBroken(TargetRuntime target, RequestTraits traits) {
         detector.attemptBroken(target, traits.all());
@@ -95,6 +102,7 @@
         if (!suspects.crashed(crash, nowNanos)) {
             return;
         }
+        whenCrashed.accept(crash);
         metrics.count("target_crashes");
         log.change("target.crashed")
                 .with("target", crash.target())
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -112,8 +112,7 @@
                         !target.instance().domain().equals(domain),
                         target.instance().slots(),
                         target.backlog(),
-                        // A part counts as no request, so an engine with a limit would get any number of them.
-                        target.limit().requestsPerSecond().isEmpty(),
+                        target.mayHelp(nowNanos),
                         networkDelayMillis);
                 candidates.add(candidate);
                 runtimes.put(candidate, target);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -180,7 +180,7 @@
         ExchangeOptions options = ExchangeOptions.builder()
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
-                .condition(() -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()))
+                .condition(() -> reasonNotToSend().isEmpty() && context.cold().tryAcquireRequest(target))
                 // A late copy of the first response of a target has the same id as its next one.
                 .onNewConnection(!triedTargets.add(target))
                 .build();
@@ -202,6 +202,7 @@
             from.target().pause(pause, System.nanoTime());
             log.targetPaused(from.target(), pause);
         });
+        context.cold().answered(from.target(), from.head());
         context.limits().answered(from.target(), request.caller().id(), from.head(), from.sentNanos());
     }
 
@@ -294,6 +295,7 @@
         if (!sent) {
             if (target.mayGetRequests(System.nanoTime())) {
                 target.failureHistory().recordNoResponse(System.nanoTime());
+                context.cold().unreachable(target);
             }
             connectFailures++;
             attempts--;
@@ -309,6 +311,7 @@
             return;
         }
         target.failureHistory().recordFailure();
+        context.cold().unreachable(target);
         context.crashes().attemptBroken(target, traits);
         mayHaveRun = true;
         excludedTargets.add(target);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -30,7 +30,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -73,6 +72,7 @@
     private final EngineBacklogTracker backlogs;
     private final CrashMonitor crashes;
     private final RequestLimits limits;
+    private final ColdTargets cold;
     private final PeerExchange peers;
     private final AccessPolicy access;
     private final StoreEras eras = new StoreEras();
@@ -114,6 +114,9 @@
                 crashes::targetGone);
         this.backlogs = new EngineBacklogTracker(targets);
         this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
+        this.cold = new ColdTargets(
+                self.instance(), targets, catalog, settings.bounds().cold(), System::nanoTime, metrics, log);
+        crashes.whenCrashed(cold::crashed);
         this.peers = new PeerExchange(
                 new PeerCodec.PeerIncarnation(self.instance(), self.startedMillis()),
                 settings.peers(),
@@ -124,6 +127,7 @@
                 limits,
                 this::registerAgain);
         crashes.shareWith(peers);
+        peers.shareCold(cold);
         this.access = new AccessPolicy(
                 settings.bounds().revocation().minus(KEY_CHECK_MARGIN),
                 settings.bounds().configurationApply().plus(UNKNOWN_ROUTE_MARGIN),
@@ -158,6 +162,7 @@
                         new PlainTargetPicker(targets, settings.domain()),
                         targets::findAt,
                         limits,
+                        cold,
                         this::budget,
                         crashes,
                         new ResponseMemory(settings.responses()),
@@ -244,9 +249,11 @@
         peers.heartbeat(stateAgeMillis, crashes.blocked(), limits.notices());
         boolean hasStoreContact =
                 stateAgeMillis <= settings.bounds().contactWindow().toMillis();
-        limits.setEntries(peers.listedEntries()
+        SharingEntries sharing = peers.listedEntries()
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
-                .orElse(Set.of()));
+                .orElse(SharingEntries.NONE);
+        limits.setEntries(sharing.entries());
+        cold.setSharing(sharing);
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
         backlogs.removeOverdue();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -26,6 +26,7 @@
  * @param plainPicker picks the targets of plain services
  * @param targetAt finds the target that listens on an address
  * @param limits limits that targets name
+ * @param cold targets that are cold
  * @param budgets retry budget of each service
  * @param crashes targets that crash, and the requests under which they do
  * @param responseMemory memory of incomplete responses
@@ -43,6 +44,7 @@
         TargetPicker plainPicker,
         Function<Endpoint, Optional<TargetRuntime>> targetAt,
         RequestLimits limits,
+        ColdTargets cold,
         Function<ServiceName, AttemptBudget> budgets,
         CrashMonitor crashes,
         ResponseMemory responseMemory,
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/MemoryReservations.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/MemoryReservations.java
@@ -99,6 +99,10 @@
         cancel(renewalTimer);
         cancel(useTimer);
         for (Reservation reservation : reservations) {
+            if (!mayCommand(reservation.engine())) {
+                logReservation("reservation.left-to-lease", reservation);
+                continue;
+            }
             memory.release(
                             reservation.engine().client(),
                             reservation.engine().instance().id(),
@@ -132,6 +136,10 @@
     /** Asks the first helper, whose memory is filled first. */
     private void checkUse() {
         Reservation first = reservations.get(0);
+        if (!mayCommand(first.engine())) {
+            handleUse(EngineMemory.Use.UNKNOWN);
+            return;
+        }
         memory.use(first.engine().client(), first.engine().instance().id(), first.id())
                 .thenAccept(use -> loop.execute(() -> handleUse(use)));
     }
@@ -162,7 +170,12 @@
         }
     }
 
+    /** Renews without asking a cold engine that may get no request now; a broken connection ends the request anyway. */
     private void checkTargetAndRenew() {
+        if (!mayCommand(target)) {
+            renewIf(true);
+            return;
+        }
         memory.isResponding(target.client(), target.instance().id())
                 .thenAccept(isResponding -> loop.execute(() -> renewIf(isResponding)));
     }
@@ -186,7 +199,16 @@
         scheduleRenewal();
     }
 
+    /** Returns whether a command may be sent to an engine now; those to a cold one count against its rate. */
+    private static boolean mayCommand(TargetRuntime engine) {
+        return engine.tryAcquireCommand(System.nanoTime());
+    }
+
     private void sendReserve(Reservation reservation, Consumer<Boolean> whenDone) {
+        if (!mayCommand(reservation.engine())) {
+            whenDone.accept(false);
+            return;
+        }
         memory.reserve(
                         reservation.engine().client(),
                         reservation.engine().instance().id(),
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -5,6 +5,7 @@
 import io.endiveshed.coordination.crash.BlockedTrait;
 import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.TargetCrash;
+import io.endiveshed.coordination.limit.ColdNotice;
 import io.endiveshed.coordination.limit.LimitNotice;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -47,6 +48,9 @@
     /** Maximum number of limits in one heartbeat, for the same reason. */
     private static final int MAX_LIMITS = 16;
 
+    /** Maximum number of cold targets in one heartbeat, for the same reason. */
+    private static final int MAX_COLD = 32;
+
     /** Stands for a target that no longer names a limit. */
     private static final double NO_LIMIT = -1;
 
@@ -60,13 +64,15 @@
      * @param blocked traits of requests that it blocks; those beyond the maximum are left out
      * @param limits limits of targets that it knows, the most important first; those beyond the maximum are left out
      * @param unreachableEntries number of listed entries of which it receives no heartbeats
+     * @param cold targets that are cold, the most important first; those beyond the maximum are left out
      */
     static byte[] heartbeat(
             PeerIncarnation sender,
             long stateAgeMillis,
             List<BlockedTrait> blocked,
             List<LimitNotice> limits,
-            int unreachableEntries) {
+            int unreachableEntries,
+            List<ColdNotice> cold) {
         return pack(sender, HEARTBEAT, packer -> {
             packer.packLong(stateAgeMillis);
             // Earlier builds expect the parts of prompts that are blocked.
@@ -85,9 +91,19 @@
                 packer.packLong(block.remainingMillis());
             }
             packer.packInt(unreachableEntries);
+            packCold(packer, cold);
         });
     }
 
+    private static void packCold(MessageBufferPacker packer, List<ColdNotice> cold) throws IOException {
+        packer.packArrayHeader(Math.min(MAX_COLD, cold.size()));
+        for (ColdNotice notice : cold.subList(0, Math.min(MAX_COLD, cold.size()))) {
+            packer.packString(notice.target().value());
+            packer.packLong(notice.startedMillis());
+            packer.packLong(notice.remainingMillis());
+        }
+    }
+
     /** Encodes the crash of a target; the most specific of its traits come first, and those beyond the maximum are left out. */
     static byte[] crashed(PeerIncarnation sender, TargetCrash crash) {
         return pack(sender, CRASHED, packer -> {
@@ -186,7 +202,9 @@
         }
         List<LimitNotice> limits = unpacker.hasNext() ? readLimits(unpacker) : List.of();
         List<BlockedTrait> blocked = unpacker.hasNext() ? readBlocked(unpacker) : List.of();
-        return new Heartbeat(stateAge, blocked, limits, unpacker.hasNext() ? unpacker.unpackInt() : 0);
+        int unreachableEntries = unpacker.hasNext() ? unpacker.unpackInt() : 0;
+        List<ColdNotice> cold = unpacker.hasNext() ? readCold(unpacker) : List.of();
+        return new Heartbeat(stateAge, blocked, limits, unreachableEntries, cold);
     }
 
     private static List<BlockedTrait> readBlocked(MessageUnpacker unpacker) throws IOException {
@@ -217,6 +235,19 @@
         return limits;
     }
 
+    private static List<ColdNotice> readCold(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        if (count > MAX_COLD) {
+            throw new IllegalArgumentException("a heartbeat names at most " + MAX_COLD + " cold targets, not " + count);
+        }
+        List<ColdNotice> cold = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            cold.add(new ColdNotice(
+                    new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), unpacker.unpackLong()));
+        }
+        return cold;
+    }
+
     private static TargetCrash readCrash(MessageUnpacker unpacker) throws IOException {
         return new TargetCrash(new InstanceId(unpacker.unpackString()), unpacker.unpackLong(), readTraits(unpacker));
     }
@@ -314,12 +345,14 @@
      * @param blocked traits of requests that the sender blocks
      * @param limits what the sender knows of limits that targets name
      * @param unreachableEntries number of listed entries of which the sender receives no heartbeats
+     * @param cold targets that are cold according to what the sender itself has read
      */
     record Heartbeat(
             OptionalLong stateAgeMillis,
             List<BlockedTrait> blocked,
             List<LimitNotice> limits,
-            int unreachableEntries) {}
+            int unreachableEntries,
+            List<ColdNotice> cold) {}
 
     /**
      * End of a prompt.
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -52,6 +52,7 @@
     private final CrashListener crashListener;
     private final LimitListener limitListener;
     private final Runnable whenUnlisted;
+    private ColdNotices coldNotices = ColdNotices.NONE;
     private final Map<InstanceId, InetSocketAddress> listedAddresses = new HashMap<>();
     private final Map<InstanceId, PeerState> activePeers = new HashMap<>();
     private final OwnPlacements ownPlacements = new OwnPlacements();
@@ -79,6 +80,11 @@
         this.whenUnlisted = whenUnlisted;
     }
 
+    /** Sets what is told of cold targets, and what receives it. */
+    void shareCold(ColdNotices notices) {
+        coldNotices = notices;
+    }
+
     void start() {
         channel = new Bootstrap()
                 .group(loops)
@@ -151,7 +157,8 @@
      * and drops the peers that have sent none for too long.
      */
     void heartbeat(long stateAgeMillis, List<BlockedTrait> blocked, List<LimitNotice> limits) {
-        sendToAll(PeerCodec.heartbeat(self, stateAgeMillis, blocked, limits, unreachableEntries()));
+        sendToAll(
+                PeerCodec.heartbeat(self, stateAgeMillis, blocked, limits, unreachableEntries(), coldNotices.toTell()));
         long nowNanos = System.nanoTime();
         for (Iterator<Map.Entry<InstanceId, PeerState>> peers =
                         activePeers.entrySet().iterator();
@@ -271,6 +278,7 @@
         peer.unreachableEntries = heartbeat.unreachableEntries();
         heartbeat.blocked().forEach(crashListener::blockedElsewhere);
         heartbeat.limits().forEach(notice -> limitListener.limitObservedElsewhere(entry, notice));
+        heartbeat.cold().forEach(notice -> coldNotices.coldElsewhere(entry, notice));
     }
 
     /** Sends the prompts that run to each newly active peer, once the platform lists its address. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -4,7 +4,9 @@
 import io.endiveshed.coordination.availability.RequestGate;
 import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.engine.EngineBacklog;
+import io.endiveshed.coordination.limit.ColdStartGate;
 import io.endiveshed.coordination.limit.TargetLimit;
+import io.endiveshed.coordination.service.ColdStart;
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
@@ -24,6 +26,7 @@
     private final EngineBacklog backlog = new EngineBacklog();
     private final TargetFailureHistory failureHistory = new TargetFailureHistory();
     private final TargetLimit limit;
+    private final ColdStartGate cold;
     private final PauseGate pause = new PauseGate();
     private final List<RequestGate> gates = new ArrayList<>();
     private final Consumer<TargetRuntime> whenLeaving;
@@ -32,17 +35,24 @@
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
-        this(instance, client, new TargetLimit(), leaving -> {});
+        this(instance, client, new TargetLimit(), new ColdStartGate(() -> ColdStart.NONE), leaving -> {});
     }
 
     /** Creates the state of a target; the consumer is called when the target says in an answer that it leaves. */
-    TargetRuntime(TargetInstance instance, HttpClient client, TargetLimit limit, Consumer<TargetRuntime> whenLeaving) {
+    TargetRuntime(
+            TargetInstance instance,
+            HttpClient client,
+            TargetLimit limit,
+            ColdStartGate cold,
+            Consumer<TargetRuntime> whenLeaving) {
         this.limit = limit;
+        this.cold = cold;
         this.whenLeaving = whenLeaving;
         this.instance = instance;
         this.client = client;
         gates.add(pause);
         gates.add(limit);
+        gates.add(cold);
     }
 
     /** Adds a restriction on the requests that the target gets. */
@@ -94,6 +104,19 @@
         return limit;
     }
 
+    /** Returns the gate that limits the requests while the target is cold. */
+    ColdStartGate cold() {
+        return cold;
+    }
+
+    /**
+     * Returns whether the target may take over a part of a prompt. A part counts as no request of this entry, so a target
+     * with a limited rate would get any number of them.
+     */
+    boolean mayHelp(long nowNanos) {
+        return limit.requestsPerSecond().isEmpty() && !cold.isCold(nowNanos);
+    }
+
     /** Returns whether the target may get a request of this entry now; if not, why, and for how long. */
     TargetStatus status(long nowNanos) {
         TargetStatus status = isUsable ? TargetStatus.AVAILABLE : LEAVING;
@@ -117,6 +140,18 @@
         return true;
     }
 
+    /**
+     * Returns whether a command or a question about the state of the target may be sent now; if so, it counts against the
+     * rate of a cold target.
+     */
+    boolean tryAcquireCommand(long nowNanos) {
+        if (!cold.status(nowNanos).isAvailable()) {
+            return false;
+        }
+        cold.acquire(nowNanos);
+        return true;
+    }
+
     /** Returns the number of requests of this entry that are assigned to the target. */
     int openRequests() {
         return openRequests;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -4,7 +4,9 @@
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.limit.ColdStartGate;
 import io.endiveshed.coordination.limit.TargetLimit;
+import io.endiveshed.coordination.service.ColdStart;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.coordination.service.TargetList;
@@ -24,11 +26,12 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
-    /** Maximum number of missing targets whose limits are kept; about twice the targets of a large fleet. */
-    private static final int MAX_LIMITS_OF_MISSING = 512;
+    /** Maximum number of missing targets whose restrictions are kept; about twice the targets of a large fleet. */
+    private static final int MAX_MISSING = 512;
 
     private final EventLoopGroup loops;
     private final EventLoop loop;
@@ -38,14 +41,17 @@
     private final TargetList list;
     private final Map<InstanceId, TargetRuntime> runtimesById = new HashMap<>();
 
-    /** Limits of targets that are missing from the list; a target may be listed again in the same incarnation. */
-    private final Map<TargetIncarnation, TargetLimit> limitsOfMissing = new LinkedHashMap<>() {
+    /** Restrictions of targets that are missing from the list; a target may be listed again in the same incarnation. */
+    private final Map<TargetIncarnation, Restrictions> restrictionsOfMissing = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<TargetIncarnation, TargetLimit> eldest) {
-            return size() > MAX_LIMITS_OF_MISSING;
+        protected boolean removeEldestEntry(Map.Entry<TargetIncarnation, Restrictions> eldest) {
+            return size() > MAX_MISSING;
         }
     };
 
+    private Function<ServiceName, ColdStart> coldStarts = service -> ColdStart.NONE;
+    private Consumer<TargetRuntime> whenAdded = added -> {};
+    private boolean isListed;
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
     /**
@@ -74,6 +80,12 @@
         this.whenGone = whenGone;
     }
 
+    /** Sets how the targets of each service start, and an action for each target before it gets its first request. */
+    void limitCold(Function<ServiceName, ColdStart> coldStartOfService, Consumer<TargetRuntime> action) {
+        coldStarts = coldStartOfService;
+        whenAdded = action;
+    }
+
     /** Returns the targets of a service that may get new requests, in an order that is the same in all entries. */
     List<TargetRuntime> usableOf(ServiceName service) {
         return usableByService.getOrDefault(service, List.of());
@@ -107,6 +119,8 @@
         batch.events().forEach(event -> event.value().ifPresent(targets::add));
         list.replaceAll(targets, System.nanoTime());
         updateRuntimes("list", batch.upTo());
+        observeColdTimes(batch, false);
+        isListed = true;
     }
 
     @Override
@@ -123,6 +137,20 @@
         }
         if (!batch.events().isEmpty()) {
             updateRuntimes("watch", batch.upTo());
+            observeColdTimes(batch, true);
+        }
+    }
+
+    /** Passes on what the objects of targets say of their cold time, before any request is sent on their account. */
+    private void observeColdTimes(FeedBatch<TargetInstance> batch, boolean isWritten) {
+        for (FeedEvent<TargetInstance> event : batch.events()) {
+            event.value().ifPresent(target -> {
+                TargetRuntime runtime = runtimesById.get(target.id());
+                if (runtime != null && !isOtherIncarnation(runtime.instance(), target)) {
+                    target.cold()
+                            .ifPresent(reading -> runtime.cold().observeStored(reading, event.version(), isWritten));
+                }
+            });
         }
     }
 
@@ -164,12 +192,15 @@
                 runtime = null;
             }
             if (runtime == null) {
+                Restrictions restrictions = restrictionsOf(target);
                 runtime = new TargetRuntime(
                         target,
                         new HttpClient(loops, target.endpoint().socketAddress(), clientOptions),
-                        limitOf(target),
+                        restrictions.limit,
+                        restrictions.cold,
                         this::markLeaving);
                 runtimesById.put(target.id(), runtime);
+                whenAdded.accept(runtime);
                 logChange("target.added", target, isUsable, cause, version);
             } else if (runtime.isUsable() != isUsable) {
                 logChange("target.changed", target, isUsable, cause, version);
@@ -190,8 +221,9 @@
 
     private void remove(TargetRuntime runtime) {
         runtimesById.remove(runtime.instance().id());
-        if (runtime.limit().requestsPerSecond().isPresent()) {
-            limitsOfMissing.put(TargetIncarnation.of(runtime.instance()), runtime.limit());
+        if (runtime.limit().requestsPerSecond().isPresent() || runtime.cold().isLimited()) {
+            restrictionsOfMissing.put(
+                    TargetIncarnation.of(runtime.instance()), new Restrictions(runtime.limit(), runtime.cold()));
         }
         if (runtime.isUsable()) {
             whenGone.accept(runtime);
@@ -200,9 +232,17 @@
         runtime.client().stop();
     }
 
-    private TargetLimit limitOf(TargetInstance target) {
-        TargetLimit known = limitsOfMissing.remove(TargetIncarnation.of(target));
-        return known == null ? new TargetLimit() : known;
+    /** Returns the restrictions of an incarnation; one that was not listed at first has started since. */
+    private Restrictions restrictionsOf(TargetInstance target) {
+        Restrictions known = restrictionsOfMissing.remove(TargetIncarnation.of(target));
+        if (known != null) {
+            return known;
+        }
+        ColdStartGate cold = new ColdStartGate(() -> coldStarts.apply(target.service()));
+        if (isListed) {
+            cold.observeStart(System.nanoTime());
+        }
+        return new Restrictions(new TargetLimit(), cold);
     }
 
     private void indexUsable() {
@@ -233,6 +273,9 @@
         }
     }
 
+    /** What is known of an incarnation beyond the list. */
+    private record Restrictions(TargetLimit limit, ColdStartGate cold) {}
+
     private void logChange(String event, TargetInstance target, boolean isUsable, String cause, long version) {
         log.change(event)
                 .with("target", target.id())
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.settings.SettingsError;
 import java.time.Duration;
 import java.util.List;
@@ -25,6 +26,8 @@
               unused-memory: 9000ms
               retry-share: 0.2
               retry-allowance: 106
+              cold-overshoot: 1.5
+              cold-allowance: 5
             """;
 
     /** Guards against a setting that ends up in the field of another one. */
@@ -41,6 +44,10 @@
         assertThat(settings.bounds().unusedMemory()).isEqualTo(Duration.ofSeconds(9));
         assertThat(settings.bounds().retryShare()).isEqualTo(0.2);
         assertThat(settings.bounds().retryAllowance()).isEqualTo(106.0);
+        assertThat(settings.bounds().cold()).isEqualTo(new ColdBounds(1.5, 5));
+        String without = COMPLETE_FILE.replace("  cold-overshoot: 1.5\n  cold-allowance: 5\n", "");
+        assertThat(GatewaySettingsFile.parse("test", without).get().bounds().cold())
+                .isEqualTo(new ColdBounds(1, 0));
     }
 
     /** Guards against a reader that stops at the first error, so that the operator must fix them one by one. */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -5,6 +5,7 @@
 
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.gateway.GatewaySettings;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
@@ -275,7 +276,8 @@
                 Duration.ofMillis(drainMillis),
                 Duration.ofSeconds(9),
                 0.2,
-                100);
+                100,
+                ColdBounds.DEFAULTS);
     }
 
     private FeedFollower<String> startFollower(FeedFollower.Pace pace) {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -12,6 +12,7 @@
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.crash.BlockedTrait;
 import io.endiveshed.coordination.crash.RequestTrait;
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.retry.AttemptBudget;
 import io.endiveshed.coordination.service.AccessPolicy;
 import io.endiveshed.coordination.service.ClientAccount;
@@ -154,6 +155,14 @@
                 (request, waitingSince, excluded, now) -> pick(),
                 endpoint -> Optional.empty(),
                 new RequestLimits(new InstanceId("entry-1"), targets(log), System::nanoTime, metrics, log),
+                new ColdTargets(
+                        new InstanceId("entry-1"),
+                        targets(log),
+                        new AtomicValue<>(ServiceCatalog.NONE),
+                        ColdBounds.DEFAULTS,
+                        System::nanoTime,
+                        metrics,
+                        log),
                 service -> budget,
                 crashes,
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
@@ -265,7 +274,14 @@
         @Override
         public TargetResponseHead decodeResponseHead(int status, List<Header> headers) {
             return new TargetResponseHead(
-                    status, false, true, false, Optional.empty(), OptionalDouble.empty(), Optional.empty());
+                    status,
+                    false,
+                    true,
+                    false,
+                    Optional.empty(),
+                    OptionalDouble.empty(),
+                    OptionalLong.empty(),
+                    Optional.empty());
         }
 
         @Override
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import io.endiveshed.coordination.crash.RequestTrait;
 import io.endiveshed.coordination.crash.RequestTrait.Kind;
 import io.endiveshed.coordination.crash.TargetCrash;
+import io.endiveshed.coordination.limit.ColdNotice;
 import io.endiveshed.coordination.limit.LimitNotice;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -31,6 +32,7 @@
             new InstanceId("a"),
             1_779_248_684_829L,
             Set.of(new RequestTrait(Kind.REQUEST, "5c1e07a2"), new RequestTrait(Kind.PROMPT_PART, "91bd3f06")));
+    private static final ColdNotice COLD = new ColdNotice(new InstanceId("engine-3"), 1_700_000_000_003L, 4_200);
     private static final AnsweredTrait ANSWERED = new AnsweredTrait(new RequestTrait(Kind.REQUEST, "5c1e07a2"), 1_500);
     private static final PlacementNotice NOTICE = new PlacementNotice(
             7,
@@ -56,13 +58,13 @@
         PeerCodec.PeerDatagram ended =
                 PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
         assertThat(ended.ended()).isEqualTo(Optional.of(new PeerCodec.End(7, 12.5)));
-        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(
-                        PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3))
+        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(PeerCodec.heartbeat(
+                        SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3, List.of(COLD)))
                 .orElseThrow();
         assertThat(heartbeat.started()).isEqualTo(Optional.empty());
         assertThat(heartbeat.heartbeat())
                 .isEqualTo(Optional.of(new PeerCodec.Heartbeat(
-                        OptionalLong.of(1_200), List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3)));
+                        OptionalLong.of(1_200), List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3, List.of(COLD))));
         assertThat(started.heartbeat()).isEqualTo(Optional.empty());
     }
 
@@ -109,7 +111,7 @@
         for (byte[] whole : List.of(
                 PeerCodec.started(SENDER, NOTICE),
                 PeerCodec.crashed(SENDER, CRASH),
-                PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3))) {
+                PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3, List.of(COLD)))) {
             for (int i = 0; i < 20_000; i++) {
                 byte[] corrupt = whole.clone();
                 corrupt[random.nextInt(corrupt.length)] = (byte) random.nextInt();
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -135,6 +136,13 @@
 
     private static TargetResponseHead head(int status, OptionalDouble requestsPerSecond) {
         return new TargetResponseHead(
-                status, false, true, false, Optional.empty(), requestsPerSecond, Optional.empty());
+                status,
+                false,
+                true,
+                false,
+                Optional.empty(),
+                requestsPerSecond,
+                OptionalLong.empty(),
+                Optional.empty());
     }
 }
