Keep new work away from the targets of an evacuated failure domain

The operator evacuates a failure domain by an object of the kind evacuations, which nothing read so far. A service whose targets are all evacuated answers 503 "evacuated" at once, and while any target is evacuated, the retry delays of refused callers are spread. Readiness and the startup queue wait for the first read.

Measured in virtual time: with a bound of 5 s and a contact window of 3 s the feed calls the store at most 18 times in 60 s, without a bound at most 4 times. Lost watches are noticed in time for bounds of 2, 5 and 10 s.

--- a/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
+++ b/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
@@ -19,6 +19,10 @@
     OVERLOADED(503, "ask again after the time in Retry-After"),
     NO_TARGET(
             503, "ask again after the time in Retry-After; operators: check that sidecars of this target are running"),
+    EVACUATED(
+            503,
+            "ask again after the time in Retry-After; operators: lift the evacuation of a failure domain in which the"
+                    + " service has targets"),
     PROMPT_BLOCKED(
             503,
             "ask without the document or context that the prompt has in common with those before which engines crashed,"
--- a/coordination/src/main/java/io/endiveshed/coordination/availability/TargetStatus.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/availability/TargetStatus.java
@@ -17,6 +17,7 @@
         COLD("cold and at the rate that cold targets bear"),
         RATE_LIMITED("at the rate that they take"),
         PAUSED("pausing"),
+        EVACUATIONS_UNREAD("waiting until the evacuations have been read"),
         EVACUATED("in an evacuated failure domain"),
         LEAVING("leaving");
 
@@ -42,6 +43,14 @@
         return reason == Reason.AVAILABLE;
     }
 
+    /**
+     * Returns whether the target gets no new work until further notice, while work that runs there goes on. Requests that
+     * wait for such a target are placed elsewhere, as if they had never been placed there.
+     */
+    public boolean isWithdrawn() {
+        return reason.compareTo(Reason.EVACUATIONS_UNREAD) >= 0;
+    }
+
     /** Returns the status under both restrictions: the graver reason and the longer wait. */
     public TargetStatus and(TargetStatus other) {
         Reason graver = reason.compareTo(other.reason) >= 0 ? reason : other.reason;
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.id.InstanceId;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Settings of a gateway.
@@ -39,6 +40,8 @@
      * @param unusedMemory time for which memory of an engine may stay reserved without a request that uses it
      * @param retryShare retries allowed per request, over all gateways
      * @param retryAllowance retries allowed in addition to that share, over all gateways
+     * @param evacuation time after the acknowledgement of an evacuation from which no request may reach the targets of
+     *     the failure domain; empty if the operator sets no bound
      */
     public record Bounds(
             Duration revocation,
@@ -48,7 +51,8 @@
             Duration drain,
             Duration unusedMemory,
             double retryShare,
-            double retryAllowance) {}
+            double retryAllowance,
+            Optional<Duration> evacuation) {}
 
     /**
      * Limits of what a target may send. A target that exceeds one of them counts as failed and its connection is closed.
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -109,6 +109,7 @@
         Optional<Double> share = section.parse(
                 "retry-share", section.requiredText("retry-share", "0.2"), GatewaySettingsFile::parseShare);
         Optional<Double> allowance = section.decimal("retry-allowance", 0, MAX_RETRY_ALLOWANCE);
+        Optional<Duration> evacuation = section.duration("evacuation", MIN_DURATION, MAX_DURATION);
         section.reportUnknownKeys();
         if (revocation.isEmpty() || apply.isEmpty() || grace.isEmpty() || share.isEmpty()) {
             return Optional.empty();
@@ -121,7 +122,8 @@
                 drain,
                 unusedMemory,
                 share.get(),
-                allowance.orElse(0.0)));
+                allowance.orElse(0.0),
+                evacuation));
     }
 
     private static Optional<Duration> readDuration(Section section, String key) {
--- a/gateway/src/main/java/io/endiveshed/gateway/PlatformPorts.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/PlatformPorts.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway;
 
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.coordination.service.ServiceCatalog;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.ports.platform.ObjectFeed;
@@ -11,6 +12,7 @@
  * @param targets list of targets
  * @param entries list of entries
  * @param crashes crashes of targets that entries have stored
+ * @param evacuations evacuated failure domains; the name of the object is that of the domain
  * @param engineMemory memory reservations on engines
  */
 public record PlatformPorts(
@@ -18,4 +20,5 @@
         ObjectFeed<TargetInstance> targets,
         EntryRegistry entries,
         CrashRegistry crashes,
+        ObjectFeed<FailureDomain> evacuations,
         EngineMemory engineMemory) {}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -19,6 +19,19 @@
     /** Returns the target. */
     TargetRuntime target();
 
+    /**
+     * Returns whether the target, or an engine that helps it, gets no new work until further notice. Work that has been
+     * sent goes on.
+     */
+    default boolean isWithdrawn(long nowNanos) {
+        return target().status(nowNanos).isWithdrawn();
+    }
+
+    /** Returns whether the request may be written now; if so, it counts against the restrictions of the target. */
+    default boolean tryAcquire(long nowNanos) {
+        return !isWithdrawn(nowNanos) && target().tryAcquireRequest(nowNanos);
+    }
+
     /** Returns the engines that help the target to read the prompt. */
     List<ForwardingOptions.Helper> helpers();
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -84,11 +84,21 @@
         if (candidates.isEmpty()) {
             ServiceName service = request.service().name();
             TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
-            return refuse(pauses.reason(), pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY));
+            return refuse(
+                    pauses.isEvacuated() ? ErrorKind.EVACUATED : ErrorKind.OVERLOADED,
+                    pauses.reason(),
+                    pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY),
+                    request,
+                    nowNanos);
         }
         return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
                 .fold(
-                        waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
+                        waitMillis -> refuse(
+                                ErrorKind.OVERLOADED,
+                                "all engines are busy",
+                                Duration.ofMillis(waitMillis),
+                                request,
+                                nowNanos),
                         placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
     }
 
@@ -150,9 +160,11 @@
         List<InstanceId> engineIds = new ArrayList<>();
         List<ForwardingOptions.Helper> helpers = new ArrayList<>();
         engineIds.add(placement.primary().id());
+        List<TargetRuntime> helperRuntimes = new ArrayList<>();
         List<MemoryReservations.Reservation> reservations = new ArrayList<>();
         for (EngineCandidate helper : placement.helpers()) {
             TargetRuntime runtime = runtimes.get(helper);
+            helperRuntimes.add(runtime);
             Optional<String> reservationId = Optional.empty();
             if (reservations.size() < placement.holderCount()) {
                 String id = reservationPrefix + "-" + lastNumber + "-" + reservations.size();
@@ -183,20 +195,24 @@
         peers.started(notice);
         MemoryReservations memoryReservations =
                 new MemoryReservations(memory, loop, log, request.caller().id(), target, reservations, maxUnusedMemory);
-        return new EngineAssignment(target, helpers, memoryReservations, notice, nowNanos);
+        return new EngineAssignment(target, helperRuntimes, helpers, memoryReservations, notice, nowNanos);
     }
 
-    private static Either<Failure, Assignment> refuse(String message, Duration retryAfter) {
-        Failure.Builder failure = Failure.of(ErrorKind.OVERLOADED).message(message);
-        return Either.left(
-                retryAfter.isZero()
-                        ? failure.build()
-                        : failure.retryAfter(retryAfter).build());
+    private Either<Failure, Assignment> refuse(
+            ErrorKind kind, String message, Duration retryAfter, AdmittedRequest request, long nowNanos) {
+        Failure.Builder failure = Failure.of(kind).message(message);
+        if (retryAfter.isZero()) {
+            return Either.left(failure.build());
+        }
+        List<TargetRuntime> engines = targets.usableOf(request.service().name());
+        return Either.left(failure.retryAfter(TargetPauses.retryDelay(retryAfter, request, engines, nowNanos))
+                .build());
     }
 
     /** Assignment to an engine and its helpers, which counts in the backlogs until it is released. */
     private final class EngineAssignment implements Assignment {
         private final TargetRuntime target;
+        private final List<TargetRuntime> helperRuntimes;
         private final List<ForwardingOptions.Helper> helpers;
         private final MemoryReservations reservations;
         private final PlacementNotice notice;
@@ -206,11 +222,13 @@
 
         EngineAssignment(
                 TargetRuntime target,
+                List<TargetRuntime> helperRuntimes,
                 List<ForwardingOptions.Helper> helpers,
                 MemoryReservations reservations,
                 PlacementNotice notice,
                 long placedNanos) {
             this.target = target;
+            this.helperRuntimes = List.copyOf(helperRuntimes);
             this.helpers = helpers;
             this.reservations = reservations;
             this.notice = notice;
@@ -227,6 +245,13 @@
             return target;
         }
 
+        @Override
+        public boolean isWithdrawn(long nowNanos) {
+            return target.status(nowNanos).isWithdrawn()
+                    || helperRuntimes.stream()
+                            .anyMatch(helper -> helper.status(nowNanos).isWithdrawn());
+        }
+
         @Override
         public List<ForwardingOptions.Helper> helpers() {
             return helpers;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
@@ -31,10 +31,9 @@
         List<Header> headers = new ArrayList<>();
         headers.add(JSON);
         failure.retryAfter().ifPresent(retryDelay -> {
-            double maxDelayMillis =
-                    isBlock(failure) ? Double.MAX_VALUE : Math.max(0, remainingMillis * MAX_RETRY_DELAY_SHARE);
-            double delayMillis = Math.min((double) retryDelay.toMillis(), maxDelayMillis);
-            headers.add(dialect.retryAfterHeader(Duration.ofMillis((long) delayMillis)));
+            Duration longest = longestRetryDelay(remainingMillis);
+            boolean isShortened = !isBlock(failure) && retryDelay.compareTo(longest) > 0;
+            headers.add(dialect.retryAfterHeader(isShortened ? longest : retryDelay));
         });
         sink.respond(
                 failure.kind().httpStatus(),
@@ -42,6 +41,11 @@
                 ErrorResponses.json(failure).getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Returns the longest retry delay that a caller with the given remaining time in milliseconds accepts. */
+    static Duration longestRetryDelay(double remainingMillis) {
+        return Duration.ofMillis((long) Math.max(0, remainingMillis * MAX_RETRY_DELAY_SHARE));
+    }
+
     private static boolean isBlock(Failure failure) {
         return failure.kind() == ErrorKind.REQUEST_BLOCKED || failure.kind() == ErrorKind.PROMPT_BLOCKED;
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
@@ -4,7 +4,7 @@
 import io.endiveshed.ports.platform.ObjectFeed;
 import java.time.Duration;
 
-/** Rates at which the feeds of the store are followed. Those of the targets derive from the bounds of the operator. */
+/** Rates at which the feeds of the store are followed. Those of targets and evacuations derive from the bounds of the operator. */
 final class FeedPaces {
     /**
      * Timeout of a watch on the desired state. The desired state may be up to twice this old when the store becomes
@@ -42,9 +42,14 @@
      */
     private static final Duration RARE_CHANGES_WATCH_TIMEOUT = Duration.ofSeconds(25);
 
+    private static final Duration EVACUATIONS_MIN_WATCH_TIMEOUT = Duration.ofMillis(200);
+
     /** Minimum time between two watches on objects that change rarely, if the first one returned changes. */
     private static final Duration RARE_CHANGES_MIN_INTERVAL = Duration.ofSeconds(1);
 
+    /** Part of the time for an evacuation that a change may wait after another one was read. */
+    private static final double EVACUATION_PART = 0.2;
+
     private FeedPaces() {}
 
     static FeedFollower.Pace catalog() {
@@ -69,6 +74,26 @@
         return new FeedFollower.Pace(RARE_CHANGES_WATCH_TIMEOUT, RARE_CHANGES_MIN_INTERVAL);
     }
 
+    /**
+     * Returns the pace of the feed of evacuations. A watch that was lost with its connection began before the failure, so
+     * an evacuation that it hides is acknowledged later, and must be in force neither sooner than its bound after that
+     * nor while the bounds do not hold for the instance again. Without a bound, the feed costs as little as those of
+     * rare changes.
+     */
+    static FeedFollower.Pace evacuations(GatewaySettings.Bounds bounds) {
+        if (bounds.evacuation().isEmpty()) {
+            return rareChanges();
+        }
+        Duration inForce = bounds.evacuation().get();
+        Duration longestLostWatch = max(inForce, bounds.contactWindow())
+                .minus(ObjectFeed.CALL_TIMEOUT)
+                .minus(LOST_WATCH_MARGIN);
+        Duration longestDelay = Duration.ofMillis((long) (inForce.toMillis() * EVACUATION_PART));
+        return new FeedFollower.Pace(
+                max(EVACUATIONS_MIN_WATCH_TIMEOUT, min(RARE_CHANGES_WATCH_TIMEOUT, longestLostWatch)),
+                min(RARE_CHANGES_MIN_INTERVAL, longestDelay));
+    }
+
     private static Duration min(Duration first, Duration second) {
         return first.compareTo(second) <= 0 ? first : second;
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -31,15 +31,9 @@
     /** Minimum remaining time in milliseconds for a further attempt; with less, it would only load the target. */
     private static final double MIN_ATTEMPT_MILLIS = 60;
 
-    /** Maximum number of failed connections per request; they reach no target and so do not count as attempts. */
-    private static final int MAX_CONNECT_FAILURES = 3;
-
     /** Interval in milliseconds at which another target is looked for while the current one sends nothing. */
     private static final double STALL_RECHECK_MILLIS = 300;
 
-    /** Maximum number of times that a prompt is placed again because an engine did not reserve memory for it. */
-    private static final int MAX_PREPARATION_FAILURES = 2;
-
     /** Retry delay sent to a caller when no memory was available; about the duration of one long prompt. */
     private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(2);
 
@@ -55,14 +49,13 @@
     private final ResponseRelay relay;
     private final RequestTraits traits;
     private final RequestLog log;
+    private final UnsentAttempts unsentAttempts;
     private Assignment assignment;
     private TargetResponse response;
     private HttpExchange exchange;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> stallTimer;
     private int attempts;
-    private int connectFailures;
-    private int preparationFailures;
     private boolean mayHaveRun;
     private boolean isSlowLogged;
     private boolean isFinished;
@@ -76,6 +69,7 @@
         this.relay = new ResponseRelay(sink, context.dialect(), request.caller().lastEventId());
         this.traits = new RequestTraits(request);
         this.log = new RequestLog(context, request, traits, relay);
+        this.unsentAttempts = new UnsentAttempts(context.metrics());
     }
 
     void start() {
@@ -131,19 +125,18 @@
         picked.prepare(isReady -> prepared(picked, isReady), () -> targetUnresponsive(picked));
     }
 
-    /** Sends the request if its resources were granted; otherwise places it again or ends it. */
+    /** Sends the request if its resources were granted and are still there; otherwise places it again or ends it. */
     private void prepared(Assignment picked, boolean isReady) {
         if (isFinished || picked != assignment) {
             picked.release();
             return;
         }
-        if (isReady) {
+        if (isReady && !picked.isWithdrawn(System.nanoTime())) {
             reasonNotToSend().ifPresentOrElse(this::fail, () -> send(picked, System.nanoTime()));
             return;
         }
         picked.release();
-        preparationFailures++;
-        if (preparationFailures <= MAX_PREPARATION_FAILURES) {
+        if (unsentAttempts.mayPlaceAfterRefusedMemory(picked, System.nanoTime())) {
             startAttempt();
         } else {
             fail(Failure.of(ErrorKind.OVERLOADED)
@@ -180,7 +173,7 @@
         ExchangeOptions options = ExchangeOptions.builder()
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
-                .condition(() -> reasonNotToSend().isEmpty() && target.tryAcquireRequest(System.nanoTime()))
+                .condition(() -> reasonNotToSend().isEmpty() && prepared.tryAcquire(System.nanoTime()))
                 // A late copy of the first response of a target has the same id as its next one.
                 .onNewConnection(!triedTargets.add(target))
                 .build();
@@ -292,13 +285,15 @@
             return;
         }
         if (!sent) {
-            if (target.mayGetRequests(System.nanoTime())) {
-                target.failureHistory().recordNoResponse(System.nanoTime());
-            }
-            connectFailures++;
+            long nowNanos = System.nanoTime();
             attempts--;
-            excludedTargets.add(target);
-            if (connectFailures <= MAX_CONNECT_FAILURES) {
+            if (!assignment.isWithdrawn(nowNanos)) {
+                if (target.mayGetRequests(nowNanos)) {
+                    target.failureHistory().recordNoResponse(nowNanos);
+                }
+                excludedTargets.add(target);
+            }
+            if (unsentAttempts.mayPlaceAfterUnusedConnection(assignment, nowNanos)) {
                 startAttempt();
             } else {
                 fail(Failure.of(ErrorKind.NO_TARGET)
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -1,10 +1,12 @@
 package io.endiveshed.gateway.internal;
 
 import com.codahale.metrics.MetricRegistry;
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.crash.CrashRecord;
+import io.endiveshed.coordination.evacuation.EvacuatedDomains;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.StoreIsolation;
 import io.endiveshed.coordination.limit.SharingEntries;
@@ -72,6 +74,7 @@
     private final Targets targets;
     private final EngineBacklogTracker backlogs;
     private final CrashMonitor crashes;
+    private final EvacuationMonitor evacuations;
     private final RequestLimits limits;
     private final PeerExchange peers;
     private final AccessPolicy access;
@@ -82,6 +85,7 @@
     private final FeedFollower<TargetInstance> targetsFollower;
     private final FeedFollower<EntryRecord> entriesFollower;
     private final FeedFollower<CrashRecord> crashesFollower;
+    private final FeedFollower<FailureDomain> evacuationsFollower;
     private final Map<ServiceName, AttemptBudget> budgetsByService = new HashMap<>();
     private final EntryRecord self;
     private final PlatformPorts ports;
@@ -112,6 +116,8 @@
                 settings.bounds().contactWindow(),
                 log,
                 crashes::targetGone);
+        this.evacuations = new EvacuationMonitor(new EvacuatedDomains(), loop, System::nanoTime, metrics, log);
+        targets.whenAdded(target -> target.addGate(evacuations.gate(target)));
         this.backlogs = new EngineBacklogTracker(targets);
         this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
         this.peers = new PeerExchange(
@@ -133,7 +139,10 @@
         this.targetsFollower = follower("targets", ports.targets(), FeedPaces.targets(settings.bounds()), targets);
         this.entriesFollower = follower("entries", ports.entries(), FeedPaces.rareChanges(), peers);
         this.crashesFollower = follower("crashes", ports.crashes(), FeedPaces.rareChanges(), crashes);
+        this.evacuationsFollower =
+                follower("evacuations", ports.evacuations(), FeedPaces.evacuations(settings.bounds()), evacuations);
         catalogFollower.whenReachable(() -> {
+            evacuationsFollower.refresh();
             entriesFollower.refresh();
             crashesFollower.refresh();
         });
@@ -183,6 +192,7 @@
         targetsFollower.start();
         entriesFollower.start();
         crashesFollower.start();
+        evacuationsFollower.start();
         register();
         loop.scheduleAtFixedRate(
                 this::heartbeat, HEARTBEAT_INTERVAL.toMillis(), HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -195,6 +205,7 @@
         targetsFollower.stop();
         entriesFollower.stop();
         crashesFollower.stop();
+        evacuationsFollower.stop();
         peers.stop();
         loops.shutdownGracefully(0, HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
                 .syncUninterruptibly();
@@ -207,12 +218,15 @@
      */
     public boolean isReady() {
         boolean canCheckKeys = !catalog.read().keysRequired() || !access.isTooOldForKeys(catalogFollower.ageMillis());
-        return canCheckKeys && !isIsolated && readiness(isDraining).isReady();
+        return canCheckKeys
+                && !isIsolated
+                && evacuations.isRead()
+                && readiness(isDraining).isReady();
     }
 
     /** Returns whether requests that have waited since the start can be served, with what other entries have stored. */
     private boolean canServe() {
-        return readiness(false).isReady() && crashes.isListed();
+        return readiness(false).isReady() && crashes.isListed() && evacuations.isRead();
     }
 
     private Readiness readiness(boolean isStopping) {
@@ -249,6 +263,7 @@
                 .orElse(Set.of()));
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
+        evacuations.logUnknown(targets.domains());
         backlogs.removeOverdue();
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -45,9 +45,10 @@
         }
         if (best == null) {
             TargetPauses pauses = TargetPauses.of(request.service().name(), candidates, nowNanos);
-            return Either.left(Failure.of(ErrorKind.NO_TARGET)
+            Duration delay = pauses.retryAfter().orElse(NO_TARGET_RETRY_DELAY);
+            return Either.left(Failure.of(pauses.isEvacuated() ? ErrorKind.EVACUATED : ErrorKind.NO_TARGET)
                     .message(pauses.reason())
-                    .retryAfter(pauses.retryAfter().orElse(NO_TARGET_RETRY_DELAY))
+                    .retryAfter(TargetPauses.retryDelay(delay, request, candidates, nowNanos))
                     .build());
         }
         best.requestStarted();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
@@ -22,8 +23,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
@@ -47,6 +50,7 @@
     };
 
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
+    private Consumer<TargetRuntime> whenAdded = added -> {};
 
     /**
      * Creates an empty set of targets.
@@ -74,6 +78,18 @@
         this.whenGone = whenGone;
     }
 
+    /** Sets an action that adds the restrictions of a target to each new one. */
+    void whenAdded(Consumer<TargetRuntime> action) {
+        whenAdded = action;
+    }
+
+    /** Returns the failure domains of all targets, usable or not. */
+    Set<FailureDomain> domains() {
+        return runtimesById.values().stream()
+                .map(target -> target.instance().domain())
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the targets of a service that may get new requests, in an order that is the same in all entries. */
     List<TargetRuntime> usableOf(ServiceName service) {
         return usableByService.getOrDefault(service, List.of());
@@ -169,6 +185,7 @@
                         new HttpClient(loops, target.endpoint().socketAddress(), clientOptions),
                         limitOf(target),
                         this::markLeaving);
+                whenAdded.accept(runtime);
                 runtimesById.put(target.id(), runtime);
                 logChange("target.added", target, isUsable, cause, version);
             } else if (runtime.isUsable() != isUsable) {
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -25,6 +25,7 @@
               unused-memory: 9000ms
               retry-share: 0.2
               retry-allowance: 106
+              evacuation: 5000ms
             """;
 
     /** Guards against a setting that ends up in the field of another one. */
@@ -41,6 +42,7 @@
         assertThat(settings.bounds().unusedMemory()).isEqualTo(Duration.ofSeconds(9));
         assertThat(settings.bounds().retryShare()).isEqualTo(0.2);
         assertThat(settings.bounds().retryAllowance()).isEqualTo(106.0);
+        assertThat(settings.bounds().evacuation()).hasValue(Duration.ofSeconds(5));
     }
 
     /** Guards against a reader that stops at the first error, so that the operator must fix them one by one. */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -104,6 +104,44 @@
         }
     }
 
+    /** Guards against an evacuation that a lost watch hides for longer than the operator allows. */
+    @Test
+    void evacuationThatALostWatchHidesIsKnownWithinItsBound() {
+        for (long evacuationMillis : new long[] {2_000, 5_000, 10_000}) {
+            for (long untilOutageMillis : new long[] {1, 1_200, 3_700}) {
+                for (long outageMillis = 10; outageMillis <= 8_000; outageMillis += 470) {
+                    feed = new FakeFeed();
+                    known.clear();
+                    FeedFollower<String> follower =
+                            startFollower(FeedPaces.evacuations(bounds(3_000, 2_000, Optional.of(evacuationMillis))));
+                    advance(untilOutageMillis);
+                    feed.becomeSilent();
+                    advance(outageMillis);
+                    feed.isSilent = false;
+                    feed.put("evacuated");
+                    advance(Math.max(evacuationMillis, 3_000));
+
+                    assertWithMessage("outage of %s ms, %s ms after the start", outageMillis, untilOutageMillis)
+                            .that(known)
+                            .containsExactly("evacuated");
+                    follower.stop();
+                }
+            }
+        }
+    }
+
+    /** Guards against a feed of evacuations that costs more calls to the store than the feed of targets. */
+    @Test
+    void feedOfEvacuationsCostsFewCalls() {
+        startFollower(FeedPaces.evacuations(bounds(3_000, 2_000, Optional.of(5_000L))));
+        advance(60_000);
+        assertThat(feed.calls).isAtMost(18);
+        feed = new FakeFeed();
+        startFollower(FeedPaces.evacuations(bounds(3_000, 2_000, Optional.empty())));
+        advance(60_000);
+        assertThat(feed.calls).isAtMost(4);
+    }
+
     /** Guards against a change that a lost watch on rarely changing objects hides until its long timeout. */
     @Test
     void refreshedFeedSeesWhatItsLostWatchHides() {
@@ -267,6 +305,11 @@
     }
 
     private static GatewaySettings.Bounds bounds(long contactWindowMillis, long drainMillis) {
+        return bounds(contactWindowMillis, drainMillis, Optional.empty());
+    }
+
+    private static GatewaySettings.Bounds bounds(
+            long contactWindowMillis, long drainMillis, Optional<Long> evacuationMillis) {
         return new GatewaySettings.Bounds(
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(2),
@@ -275,7 +318,8 @@
                 Duration.ofMillis(drainMillis),
                 Duration.ofSeconds(9),
                 0.2,
-                100);
+                100,
+                evacuationMillis.map(Duration::ofMillis));
     }
 
     private FeedFollower<String> startFollower(FeedFollower.Pace pace) {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -9,6 +9,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.crash.BlockedTrait;
 import io.endiveshed.coordination.crash.RequestTrait;
@@ -108,6 +109,21 @@
         assertThat(assignments.get(0).isReleased).isTrue();
     }
 
+    /** Guards against a request that is sent to a target whose domain was evacuated while memory was reserved. */
+    @Test
+    void requestWhoseTargetIsWithdrawnWhileItWaitsIsPlacedAgain() {
+        budget = new AttemptBudget(0, 0, () -> budgetNanos);
+        start();
+        for (int i = 0; i < 6; i++) {
+            FakeAssignment withdrawn = assignments.get(i);
+            withdrawn.target.addGate(nowNanos -> TargetStatus.unavailable(TargetStatus.Reason.EVACUATED, 0));
+            withdrawn.whenPrepared.accept(i % 2 == 0);
+            assertThat(withdrawn.isReleased).isTrue();
+            assertThat(assignments).hasSize(i + 2);
+        }
+        assertThat(sink.status).isEqualTo(0);
+    }
+
     /** Guards against a stream that waits for its time limit at a silent target because the budget was used up once. */
     @Test
     void stalledRequestMovesAsSoonAsTheBudgetAllowsIt() {
