Keep requests with home regions inside these regions

A route or a client account may name allowedRegions, which nothing read so far. Without a target in a home region, the request is refused at once with 503 "outside_home_regions". A list that cannot be decoded allows no region, for its route or account only. Region accepts any name of the platform, as FailureDomain does; names in own settings keep the stricter form.

--- a/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
+++ b/base/src/main/java/io/endiveshed/base/error/ErrorKind.java
@@ -23,6 +23,10 @@
             503,
             "ask again after the time in Retry-After; operators: lift the evacuation of a failure domain in which the"
                     + " service has targets"),
+    OUTSIDE_HOME_REGIONS(
+            503,
+            "ask again after the time in Retry-After; operators: start targets of the service in a home region, or change"
+                    + " the home regions of the route or the client account"),
     PROMPT_BLOCKED(
             503,
             "ask without the document or context that the prompt has in common with those before which engines crashed,"
--- a/base/src/main/java/io/endiveshed/base/id/Region.java
+++ b/base/src/main/java/io/endiveshed/base/id/Region.java
@@ -3,12 +3,12 @@
 /**
  * Name of a region, which is a group of failure domains.
  *
- * @param value a name of 1 to 128 letters, digits or {@code ._:/-}
+ * @param value a name of 1 to 1024 characters without control characters
  */
 public record Region(String value) implements Comparable<Region> {
     /** Throws {@link IllegalArgumentException} if the value is malformed. */
     public Region {
-        NameFormat.check("region", value);
+        NameFormat.checkForeign("region", value);
     }
 
     @Override
--- a/cli/src/main/java/io/endiveshed/cli/internal/OfferingsReader.java
+++ b/cli/src/main/java/io/endiveshed/cli/internal/OfferingsReader.java
@@ -34,7 +34,8 @@
     }
 
     private static Optional<Offering> readItem(Section item) {
-        Optional<Region> region = item.parse("region", item.requiredText("region", "north"), Region::new);
+        Optional<Region> region =
+                item.parse("region", item.requiredText("region", "north"), NameFormat.checked("region", Region::new));
         Optional<FailureDomain> domain = item.parse(
                 "failure-domain",
                 item.requiredText("failure-domain", "north-a"),
--- a/coordination/src/main/java/io/endiveshed/coordination/service/ClientAccount.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/ClientAccount.java
@@ -8,5 +8,11 @@
  *
  * @param id name of the account
  * @param priority priority that overrides that of the route; 0 is the most urgent
+ * @param homeRegions regions that its requests may reach
  */
-public record ClientAccount(ClientAccountId id, OptionalInt priority) {}
+public record ClientAccount(ClientAccountId id, OptionalInt priority, HomeRegions homeRegions) {
+    /** Creates an account whose requests may reach every region. */
+    public ClientAccount(ClientAccountId id, OptionalInt priority) {
+        this(id, priority, HomeRegions.UNRESTRICTED);
+    }
+}
--- a/coordination/src/main/java/io/endiveshed/coordination/service/RouteRule.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/service/RouteRule.java
@@ -24,6 +24,7 @@
     private final boolean publicAccess;
     private final boolean resumable;
     private final long maxPauseMillis;
+    private final HomeRegions homeRegions;
 
     private RouteRule(Builder builder) {
         this.name = builder.name;
@@ -38,6 +39,7 @@
         this.publicAccess = builder.publicAccess;
         this.resumable = builder.resumable;
         this.maxPauseMillis = builder.maxPauseMillis;
+        this.homeRegions = Objects.requireNonNull(builder.homeRegions);
     }
 
     /** Creates a builder of a route with the given name. */
@@ -105,6 +107,11 @@
         return maxPauseMillis;
     }
 
+    /** Returns the regions that requests may reach. */
+    public HomeRegions homeRegions() {
+        return homeRegions;
+    }
+
     /** Returns whether a request may be sent again although a target may have executed it. */
     public boolean isRetryable() {
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable);
@@ -142,6 +149,7 @@
         private boolean publicAccess;
         private boolean resumable;
         private long maxPauseMillis;
+        private HomeRegions homeRegions = HomeRegions.UNRESTRICTED;
 
         private Builder(String name) {
             this.name = Objects.requireNonNull(name);
@@ -213,6 +221,12 @@
             return this;
         }
 
+        /** Sets the regions that requests may reach; the default is every region. */
+        public Builder homeRegions(HomeRegions value) {
+            homeRegions = value;
+            return this;
+        }
+
         /**
          * Creates the route.
          *
--- a/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
@@ -55,6 +55,7 @@
         log.change("process.start")
                 .with("instance", settings.instance())
                 .with("failure_domain", settings.domain())
+                .with("regions", settings.regions().regions())
                 .with("callers", settings.callers())
                 .with("platform", settings.platform())
                 .write();
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.coordination.service.DomainRegions;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -17,6 +18,7 @@
  * @param peers UDP address that receives placement notices of other gateways
  * @param platform address of the platform's store
  * @param bounds time limits and retry budget set by the operator
+ * @param regions regions of the failure domains, also of that of the instance if its region is set
  * @param responses limits of the responses of targets
  */
 public record GatewaySettings(
@@ -28,6 +30,7 @@
         InetSocketAddress peers,
         InetSocketAddress platform,
         Bounds bounds,
+        DomainRegions regions,
         ResponseLimits responses) {
     /**
      * Time limits and retry budget.
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -2,6 +2,8 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.service.DomainRegions;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.settings.Section;
 import io.endiveshed.settings.SettingsError;
@@ -11,7 +13,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Reads {@link GatewaySettings} from YAML. */
@@ -59,6 +63,9 @@
         if (!root.has("bounds")) {
             root.addError("bounds", "\"bounds\" is missing", "add the section \"bounds\" as docs/operators.md shows");
         }
+        Map<FailureDomain, Region> regions = readRegions(root);
+        root.parse("region", root.text("region"), Region::new)
+                .ifPresent(region -> domain.ifPresent(own -> regions.putIfAbsent(own, region)));
         GatewaySettings.ResponseLimits responses = root.section("responses")
                 .map(GatewaySettingsFile::readResponses)
                 .orElseGet(GatewaySettings.ResponseLimits::defaults);
@@ -75,9 +82,22 @@
                 peers.orElseThrow(),
                 platform.orElseThrow(),
                 bounds.orElseThrow(),
+                new DomainRegions(regions),
                 responses));
     }
 
+    /** Returns the region of each failure domain that the file names. */
+    private static Map<FailureDomain, Region> readRegions(Section root) {
+        Map<FailureDomain, Region> regions = new HashMap<>();
+        root.section("regions").ifPresent(section -> {
+            for (String domain : section.keys()) {
+                section.parse(domain, section.text(domain), Region::new)
+                        .ifPresent(region -> regions.put(new FailureDomain(domain), region));
+            }
+        });
+        return regions;
+    }
+
     private static GatewaySettings.ResponseLimits readResponses(Section section) {
         GatewaySettings.ResponseLimits defaults = GatewaySettings.ResponseLimits.defaults();
         long maxEvent = readSize(section, "max-event", defaults.maxEventBytes());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -4,7 +4,6 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.engine.EngineCandidate;
 import io.endiveshed.coordination.engine.EngineCostModel;
@@ -40,7 +39,7 @@
     /** Retry delay sent to a caller when no engine is known; live targets are listed again within this time. */
     private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(500);
 
-    private final Targets targets;
+    private final HomeTargets targets;
     private final FailureDomain domain;
     private final EngineBacklogTracker backlogs;
     private final PeerExchange peers;
@@ -55,7 +54,7 @@
     EnginePicker(
             EntryRecord self,
             FailureDomain domain,
-            Targets targets,
+            HomeTargets targets,
             EngineBacklogTracker backlogs,
             PeerExchange peers,
             EngineMemory memory,
@@ -82,8 +81,11 @@
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
-            ServiceName service = request.service().name();
-            TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
+            Optional<Failure> outside = targets.refusal(request);
+            if (outside.isPresent()) {
+                return Either.left(outside.get());
+            }
+            TargetPauses pauses = TargetPauses.of(request.service().name(), targets.of(request), nowNanos);
             return refuse(
                     pauses.isEvacuated() ? ErrorKind.EVACUATED : ErrorKind.OVERLOADED,
                     pauses.reason(),
@@ -109,7 +111,7 @@
             long nowNanos,
             IdentityHashMap<EngineCandidate, TargetRuntime> runtimes) {
         List<EngineCandidate> candidates = new ArrayList<>();
-        for (TargetRuntime target : targets.usableOf(request.service().name())) {
+        for (TargetRuntime target : targets.of(request)) {
             if (!excluded.contains(target)
                     && !target.failureHistory().isBackingOff(nowNanos)
                     && target.mayGetRequests(nowNanos)) {
@@ -204,7 +206,7 @@
         if (retryAfter.isZero()) {
             return Either.left(failure.build());
         }
-        List<TargetRuntime> engines = targets.usableOf(request.service().name());
+        List<TargetRuntime> engines = targets.of(request);
         return Either.left(failure.retryAfter(TargetPauses.retryDelay(retryAfter, request, engines, nowNanos))
                 .build());
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -146,6 +146,7 @@
             entriesFollower.refresh();
             crashesFollower.refresh();
         });
+        HomeTargets homeTargets = new HomeTargets(targets, settings.regions());
         this.forwarder = new RequestForwarder(
                 new GatewayContext(
                         loop,
@@ -157,14 +158,14 @@
                         new EnginePicker(
                                 self,
                                 settings.domain(),
-                                targets,
+                                homeTargets,
                                 backlogs,
                                 peers,
                                 ports.engineMemory(),
                                 settings.bounds().unusedMemory(),
                                 loop,
                                 log),
-                        new PlainTargetPicker(targets, settings.domain()),
+                        new PlainTargetPicker(homeTargets, settings.domain()),
                         targets::findAt,
                         limits,
                         this::budget,
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -26,10 +27,10 @@
     /** Retry delay sent to a caller when no target is known; live targets are listed again within this time. */
     private static final Duration NO_TARGET_RETRY_DELAY = Duration.ofMillis(300);
 
-    private final Targets targets;
+    private final HomeTargets targets;
     private final FailureDomain domain;
 
-    PlainTargetPicker(Targets targets, FailureDomain domain) {
+    PlainTargetPicker(HomeTargets targets, FailureDomain domain) {
         this.targets = targets;
         this.domain = domain;
     }
@@ -37,13 +38,17 @@
     @Override
     public Either<Failure, Assignment> pick(
             AdmittedRequest request, long waitingSinceNanos, Set<TargetRuntime> excluded, long nowNanos) {
-        List<TargetRuntime> candidates = targets.usableOf(request.service().name());
+        List<TargetRuntime> candidates = targets.of(request);
         TargetRuntime best = cheapest(request, candidates, excluded, false, nowNanos);
         if (best == null) {
             // All targets are in backoff; only a request can show that one of them has recovered.
             best = cheapest(request, candidates, excluded, true, nowNanos);
         }
         if (best == null) {
+            Optional<Failure> outside = targets.refusal(request);
+            if (outside.isPresent()) {
+                return Either.left(outside.get());
+            }
             TargetPauses pauses = TargetPauses.of(request.service().name(), candidates, nowNanos);
             Duration delay = pauses.retryAfter().orElse(NO_TARGET_RETRY_DELAY);
             return Either.left(Failure.of(pauses.isEvacuated() ? ErrorKind.EVACUATED : ErrorKind.NO_TARGET)
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -2,9 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.Region;
 import io.endiveshed.settings.SettingsError;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class GatewaySettingsFileTest {
@@ -45,6 +48,22 @@
         assertThat(settings.bounds().evacuation()).hasValue(Duration.ofSeconds(5));
     }
 
+    /** Guards against a failure domain without a region, and against a table without rows that stops the process. */
+    @Test
+    void readsTheRegionsOfFailureDomains() {
+        String empty = "region: \"here\"\nregions: {\n  }\n" + COMPLETE_FILE;
+        assertThat(regionOf("north", empty)).hasValue(new Region("here"));
+        assertThat(regionOf("south", empty)).isEmpty();
+        String full = "regions: {\n  \"north\": \"a: b\",\n  \"south\": \"there\",\n  }\n" + COMPLETE_FILE;
+        assertThat(regionOf("north", full)).hasValue(new Region("a: b"));
+        assertThat(regionOf("south", full)).hasValue(new Region("there"));
+        assertThat(regionOf("north", COMPLETE_FILE)).isEmpty();
+    }
+
+    private static Optional<Region> regionOf(String domain, String text) {
+        return GatewaySettingsFile.parse("test", text).get().regions().of(new FailureDomain(domain));
+    }
+
     /** Guards against a reader that stops at the first error, so that the operator must fix them one by one. */
     @Test
     void reportsAllErrorsWithTheirRemedies() {
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -46,13 +46,14 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -66,7 +67,7 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final RecordingSink sink = new RecordingSink();
-    private final List<FakeAssignment> assignments = new ArrayList<>();
+    private final List<FakeAssignment> assignments = new CopyOnWriteArrayList<>();
     private long catalogAgeMillis;
     private long budgetNanos;
     private AttemptBudget budget = new AttemptBudget(0, 10, () -> budgetNanos);
@@ -124,6 +125,31 @@
         assertThat(sink.status).isEqualTo(0);
     }
 
+    /** Guards against a request that is written to a target whose domain was evacuated while its connection was opened. */
+    @Test
+    void requestWhoseTargetIsWithdrawnBeforeItIsWrittenIsPlacedAgain() throws IOException {
+        budget = new AttemptBudget(0, 0, () -> budgetNanos);
+        start();
+        Thread placing = Thread.currentThread();
+        // The request is written on an event loop of its own.
+        assignments
+                .get(0)
+                .target
+                .addGate(nowNanos -> Thread.currentThread().equals(placing)
+                        ? TargetStatus.AVAILABLE
+                        : TargetStatus.unavailable(TargetStatus.Reason.EVACUATED, 0));
+        assignments.get(0).whenPrepared.accept(true);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (assignments.size() < 2 && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertThat(assignments).hasSize(2);
+        try (Socket connection = silentTarget.accept()) {
+            assertThat(connection.getInputStream().available()).isEqualTo(0);
+        }
+        assertThat(sink.status).isEqualTo(0);
+    }
+
     /** Guards against a stream that waits for its time limit at a silent target because the budget was used up once. */
     @Test
     void stalledRequestMovesAsSoonAsTheBudgetAllowsIt() {
--- a/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
+++ b/settings/src/main/java/io/endiveshed/settings/ProcessSettings.java
@@ -49,7 +49,7 @@
                         "instance",
                         root.requiredText("instance", "instance-1"),
                         NameFormat.checked("instance id", InstanceId::new)),
-                root.parse("region", root.requiredText("region", "north"), Region::new),
+                root.parse("region", root.requiredText("region", "north"), NameFormat.checked("region", Region::new)),
                 root.parse(
                         "failure-domain",
                         root.requiredText("failure-domain", "north-a"),
