--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -3,8 +3,10 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.coordination.limit.ColdBounds;
+import io.endiveshed.coordination.service.DomainRegions;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Settings of a gateway.
@@ -17,6 +19,7 @@
  * @param peers UDP address that receives placement notices of other gateways
  * @param platform address of the platform's store
  * @param bounds time limits and retry budget set by the operator
+ * @param regions regions of the failure domains, also of that of the instance if its region is set
  * @param responses limits of the responses of targets
  */
 public record GatewaySettings(
@@ -28,6 +31,7 @@
         InetSocketAddress peers,
         InetSocketAddress platform,
         Bounds bounds,
+        DomainRegions regions,
         ResponseLimits responses) {
     /**
      * Time limits and retry budget.
@@ -41,6 +45,8 @@
      * @param retryShare retries allowed per request, over all gateways
      * @param retryAllowance retries allowed in addition to that share, over all gateways
      * @param cold requests that a cold target may get beyond its rate
+     * @param evacuation time after the acknowledgement of an evacuation from which no request may reach the targets of
+     *     the failure domain; empty if the operator sets no bound
      */
     public record Bounds(
             Duration revocation,
@@ -51,7 +57,8 @@
             Duration unusedMemory,
             double retryShare,
             double retryAllowance,
-            ColdBounds cold) {}
+            ColdBounds cold,
+            Optional<Duration> evacuation) {}
 
     /**
      * Limits of what a target may send. A target that exceeds one of them counts as failed and its connection is closed.
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -3,6 +3,8 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.coordination.limit.ColdBounds;
+import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.service.DomainRegions;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.settings.Section;
 import io.endiveshed.settings.SettingsError;
@@ -12,7 +14,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Reads {@link GatewaySettings} from YAML. */
@@ -62,6 +66,9 @@
         if (!root.has("bounds")) {
             root.addError("bounds", "\"bounds\" is missing", "add the section \"bounds\" as docs/operators.md shows");
         }
+        Map<FailureDomain, Region> regions = readRegions(root);
+        root.parse("region", root.text("region"), Region::new)
+                .ifPresent(region -> domain.ifPresent(own -> regions.putIfAbsent(own, region)));
         GatewaySettings.ResponseLimits responses = root.section("responses")
                 .map(GatewaySettingsFile::readResponses)
                 .orElseGet(GatewaySettings.ResponseLimits::defaults);
@@ -78,9 +85,22 @@
                 peers.orElseThrow(),
                 platform.orElseThrow(),
                 bounds.orElseThrow(),
+                new DomainRegions(regions),
                 responses));
     }
 
+    /** Returns the region of each failure domain that the file names. */
+    private static Map<FailureDomain, Region> readRegions(Section root) {
+        Map<FailureDomain, Region> regions = new HashMap<>();
+        root.section("regions").ifPresent(section -> {
+            for (String domain : section.keys()) {
+                section.parse(domain, section.text(domain), Region::new)
+                        .ifPresent(region -> regions.put(new FailureDomain(domain), region));
+            }
+        });
+        return regions;
+    }
+
     private static GatewaySettings.ResponseLimits readResponses(Section section) {
         GatewaySettings.ResponseLimits defaults = GatewaySettings.ResponseLimits.defaults();
         long maxEvent = readSize(section, "max-event", defaults.maxEventBytes());
@@ -113,6 +133,7 @@
                 "retry-share", section.requiredText("retry-share", "0.2"), GatewaySettingsFile::parseShare);
         Optional<Double> allowance = section.decimal("retry-allowance", 0, MAX_RETRY_ALLOWANCE);
         ColdBounds cold = readColdBounds(section);
+        Optional<Duration> evacuation = section.duration("evacuation", MIN_DURATION, MAX_DURATION);
         section.reportUnknownKeys();
         if (revocation.isEmpty() || apply.isEmpty() || grace.isEmpty() || share.isEmpty()) {
             return Optional.empty();
@@ -126,7 +147,8 @@
                 unusedMemory,
                 share.get(),
                 allowance.orElse(0.0),
-                cold));
+                cold,
+                evacuation));
     }
 
     private static ColdBounds readColdBounds(Section section) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -19,6 +19,14 @@
     /** Returns the target. */
     TargetRuntime target();
 
+    /**
+     * Returns whether the target, or an engine that helps it, gets no new work until further notice. Work that has been
+     * sent goes on.
+     */
+    default boolean isWithdrawn(long nowNanos) {
+        return target().status(nowNanos).isWithdrawn();
+    }
+
     /** Returns the engines that help the target to read the prompt. */
     List<ForwardingOptions.Helper> helpers();
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -4,7 +4,6 @@
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.engine.EngineCandidate;
 import io.endiveshed.coordination.engine.EngineCostModel;
@@ -40,7 +39,7 @@
     /** Retry delay sent to a caller when no engine is known; live targets are listed again within this time. */
     private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(500);
 
-    private final Targets targets;
+    private final HomeTargets targets;
     private final FailureDomain domain;
     private final EngineBacklogTracker backlogs;
     private final PeerExchange peers;
@@ -55,7 +54,7 @@
     EnginePicker(
             EntryRecord self,
             FailureDomain domain,
-            Targets targets,
+            HomeTargets targets,
             EngineBacklogTracker backlogs,
             PeerExchange peers,
             EngineMemory memory,
@@ -82,13 +81,26 @@
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
         if (candidates.isEmpty()) {
-            ServiceName service = request.service().name();
-            TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
-            return refuse(pauses.reason(), pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY));
+            Optional<Failure> outside = targets.refusal(request);
+            if (outside.isPresent()) {
+                return Either.left(outside.get());
+            }
+            TargetPauses pauses = TargetPauses.of(request.service().name(), targets.of(request), nowNanos);
+            return refuse(
+                    pauses.isEvacuated() ? ErrorKind.EVACUATED : ErrorKind.OVERLOADED,
+                    pauses.reason(),
+                    pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY),
+                    request,
+                    nowNanos);
         }
         return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
                 .fold(
-                        waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
+                        waitMillis -> refuse(
+                                ErrorKind.OVERLOADED,
+                                "all engines are busy",
+                                Duration.ofMillis(waitMillis),
+                                request,
+                                nowNanos),
                         placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
     }
 
@@ -99,7 +111,7 @@
             long nowNanos,
             IdentityHashMap<EngineCandidate, TargetRuntime> runtimes) {
         List<EngineCandidate> candidates = new ArrayList<>();
-        for (TargetRuntime target : targets.usableOf(request.service().name())) {
+        for (TargetRuntime target : targets.of(request)) {
             if (!excluded.contains(target)
                     && !target.failureHistory().isBackingOff(nowNanos)
                     && target.mayGetRequests(nowNanos)) {
@@ -149,9 +161,11 @@
         List<InstanceId> engineIds = new ArrayList<>();
         List<ForwardingOptions.Helper> helpers = new ArrayList<>();
         engineIds.add(placement.primary().id());
+        List<TargetRuntime> helperRuntimes = new ArrayList<>();
         List<MemoryReservations.Reservation> reservations = new ArrayList<>();
         for (EngineCandidate helper : placement.helpers()) {
             TargetRuntime runtime = runtimes.get(helper);
+            helperRuntimes.add(runtime);
             Optional<String> reservationId = Optional.empty();
             if (reservations.size() < placement.holderCount()) {
                 String id = reservationPrefix + "-" + lastNumber + "-" + reservations.size();
@@ -182,20 +196,24 @@
         peers.started(notice);
         MemoryReservations memoryReservations =
                 new MemoryReservations(memory, loop, log, request.caller().id(), target, reservations, maxUnusedMemory);
-        return new EngineAssignment(target, helpers, memoryReservations, notice, nowNanos);
+        return new EngineAssignment(target, helperRuntimes, helpers, memoryReservations, notice, nowNanos);
     }
 
-    private static Either<Failure, Assignment> refuse(String message, Duration retryAfter) {
-        Failure.Builder failure = Failure.of(ErrorKind.OVERLOADED).message(message);
-        return Either.left(
-                retryAfter.isZero()
-                        ? failure.build()
-                        : failure.retryAfter(retryAfter).build());
+    private Either<Failure, Assignment> refuse(
+            ErrorKind kind, String message, Duration retryAfter, AdmittedRequest request, long nowNanos) {
+        Failure.Builder failure = Failure.of(kind).message(message);
+        if (retryAfter.isZero()) {
+            return Either.left(failure.build());
+        }
+        List<TargetRuntime> engines = targets.of(request);
+        return Either.left(failure.retryAfter(TargetPauses.retryDelay(retryAfter, request, engines, nowNanos))
+                .build());
     }
 
     /** Assignment to an engine and its helpers, which counts in the backlogs until it is released. */
     private final class EngineAssignment implements Assignment {
         private final TargetRuntime target;
+        private final List<TargetRuntime> helperRuntimes;
         private final List<ForwardingOptions.Helper> helpers;
         private final MemoryReservations reservations;
         private final PlacementNotice notice;
@@ -205,11 +223,13 @@
 
         EngineAssignment(
                 TargetRuntime target,
+                List<TargetRuntime> helperRuntimes,
                 List<ForwardingOptions.Helper> helpers,
                 MemoryReservations reservations,
                 PlacementNotice notice,
                 long placedNanos) {
             this.target = target;
+            this.helperRuntimes = List.copyOf(helperRuntimes);
             this.helpers = helpers;
             this.reservations = reservations;
             this.notice = notice;
@@ -226,6 +246,13 @@
             return target;
         }
 
+        @Override
+        public boolean isWithdrawn(long nowNanos) {
+            return target.status(nowNanos).isWithdrawn()
+                    || helperRuntimes.stream()
+                            .anyMatch(helper -> helper.status(nowNanos).isWithdrawn());
+        }
+
         @Override
         public List<ForwardingOptions.Helper> helpers() {
             return helpers;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
@@ -24,9 +25,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
 final class Targets implements FeedFollower.Listener<TargetInstance> {
@@ -83,7 +86,19 @@
     /** Sets how the targets of each service start, and an action for each target before it gets its first request. */
     void limitCold(Function<ServiceName, ColdStart> coldStartOfService, Consumer<TargetRuntime> action) {
         coldStarts = coldStartOfService;
-        whenAdded = action;
+        whenAdded(action);
+    }
+
+    /** Adds an action that runs for each new target before it gets its first request. */
+    void whenAdded(Consumer<TargetRuntime> action) {
+        whenAdded = whenAdded.andThen(action);
+    }
+
+    /** Returns the failure domains of all targets, usable or not. */
+    Set<FailureDomain> domains() {
+        return runtimesById.values().stream()
+                .map(target -> target.instance().domain())
+                .collect(Collectors.toSet());
     }
 
     /** Returns the targets of a service that may get new requests, in an order that is the same in all entries. */
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.endiveshed.coordination.limit.ColdBounds;
+import io.endiveshed.base.id.FailureDomain;
+import io.endiveshed.base.id.Region;
 import io.endiveshed.settings.SettingsError;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class GatewaySettingsFileTest {
@@ -28,6 +31,7 @@
               retry-allowance: 106
               cold-overshoot: 1.5
               cold-allowance: 5
+              evacuation: 5000ms
             """;
 
     /** Guards against a setting that ends up in the field of another one. */
@@ -48,6 +52,23 @@
         String without = COMPLETE_FILE.replace("  cold-overshoot: 1.5\n  cold-allowance: 5\n", "");
         assertThat(GatewaySettingsFile.parse("test", without).get().bounds().cold())
                 .isEqualTo(new ColdBounds(1, 0));
+        assertThat(settings.bounds().evacuation()).hasValue(Duration.ofSeconds(5));
+    }
+
+    /** Guards against a failure domain without a region, and against a table without rows that stops the process. */
+    @Test
+    void readsTheRegionsOfFailureDomains() {
+        String empty = "region: \"here\"\nregions: {\n  }\n" + COMPLETE_FILE;
+        assertThat(regionOf("north", empty)).hasValue(new Region("here"));
+        assertThat(regionOf("south", empty)).isEmpty();
+        String full = "regions: {\n  \"north\": \"a: b\",\n  \"south\": \"there\",\n  }\n" + COMPLETE_FILE;
+        assertThat(regionOf("north", full)).hasValue(new Region("a: b"));
+        assertThat(regionOf("south", full)).hasValue(new Region("there"));
+        assertThat(regionOf("north", COMPLETE_FILE)).isEmpty();
+    }
+
+    private static Optional<Region> regionOf(String domain, String text) {
+        return GatewaySettingsFile.parse("test", text).get().regions().of(new FailureDomain(domain));
     }
 
     /** Guards against a reader that stops at the first error, so that the operator must fix them one by one. */
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -9,6 +9,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.cell.AtomicValue;
 import io.endiveshed.coordination.crash.BlockedTrait;
 import io.endiveshed.coordination.crash.RequestTrait;
@@ -46,13 +47,14 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -66,7 +68,7 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final RecordingSink sink = new RecordingSink();
-    private final List<FakeAssignment> assignments = new ArrayList<>();
+    private final List<FakeAssignment> assignments = new CopyOnWriteArrayList<>();
     private long catalogAgeMillis;
     private long budgetNanos;
     private AttemptBudget budget = new AttemptBudget(0, 10, () -> budgetNanos);
@@ -109,6 +111,46 @@
         assertThat(assignments.get(0).isReleased).isTrue();
     }
 
+    /** Guards against a request that is sent to a target whose domain was evacuated while memory was reserved. */
+    @Test
+    void requestWhoseTargetIsWithdrawnWhileItWaitsIsPlacedAgain() {
+        budget = new AttemptBudget(0, 0, () -> budgetNanos);
+        start();
+        for (int i = 0; i < 6; i++) {
+            FakeAssignment withdrawn = assignments.get(i);
+            withdrawn.target.addGate(nowNanos -> TargetStatus.unavailable(TargetStatus.Reason.EVACUATED, 0));
+            withdrawn.whenPrepared.accept(i % 2 == 0);
+            assertThat(withdrawn.isReleased).isTrue();
+            assertThat(assignments).hasSize(i + 2);
+        }
+        assertThat(sink.status).isEqualTo(0);
+    }
+
+    /** Guards against a request that is written to a target whose domain was evacuated while its connection was opened. */
+    @Test
+    void requestWhoseTargetIsWithdrawnBeforeItIsWrittenIsPlacedAgain() throws IOException {
+        budget = new AttemptBudget(0, 0, () -> budgetNanos);
+        start();
+        Thread placing = Thread.currentThread();
+        // The request is written on an event loop of its own.
+        assignments
+                .get(0)
+                .target
+                .addGate(nowNanos -> Thread.currentThread().equals(placing)
+                        ? TargetStatus.AVAILABLE
+                        : TargetStatus.unavailable(TargetStatus.Reason.EVACUATED, 0));
+        assignments.get(0).whenPrepared.accept(true);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (assignments.size() < 2 && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertThat(assignments).hasSize(2);
+        try (Socket connection = silentTarget.accept()) {
+            assertThat(connection.getInputStream().available()).isEqualTo(0);
+        }
+        assertThat(sink.status).isEqualTo(0);
+    }
+
     /** Guards against a stream that waits for its time limit at a silent target because the budget was used up once. */
     @Test
     void stalledRequestMovesAsSoonAsTheBudgetAllowsIt() {
