Count the calls to the store by feed and kind

Calls to the store are the largest cost on the deployments H and S (3.8 per second for each entry of H), and the metrics did not show which feed makes them. Each list, watch and write now counts as gateway.store_calls with its feed and kind. FeedFollowerTest checks that the counts are those of the calls that reach the store.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -138,6 +138,7 @@
         records.toWrite(isFullyConnected, System.nanoTime(), System.currentTimeMillis())
                 .ifPresent(record -> {
                     isWriting = true;
+                    metrics.countStoreCall("crashes", FeedFollower.CallKind.WRITE);
                     registry.write(record).thenAccept(result -> loop.execute(() -> written(record, result)));
                 });
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -64,6 +64,7 @@
     private final Supplier<ClockReading> clock;
     private final EventLog log;
     private final Listener<T> listener;
+    private final CallCounter counter;
     private long version = -1;
     private long lastCall;
     private OptionalLong copyUntilNanos = OptionalLong.empty();
@@ -83,7 +84,8 @@
             EventLoop loop,
             Supplier<ClockReading> clock,
             EventLog log,
-            Listener<T> listener) {
+            Listener<T> listener,
+            CallCounter counter) {
         this.name = name;
         this.feed = feed;
         this.pace = pace;
@@ -92,6 +94,7 @@
         this.clock = clock;
         this.log = log;
         this.listener = listener;
+        this.counter = counter;
     }
 
     void start() {
@@ -131,6 +134,7 @@
         lastCall++;
         long call = lastCall;
         ClockReading start = clock.get();
+        counter.called(name, version < 0 ? CallKind.LIST : CallKind.WATCH);
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::listed)));
         } else {
@@ -281,6 +285,19 @@
      */
     record Pace(Duration watchTimeout, Duration minInterval) {}
 
+    /** Kinds of calls to the store. */
+    enum CallKind {
+        LIST,
+        WATCH,
+        WRITE
+    }
+
+    /** Counts calls to the store. */
+    interface CallCounter {
+        /** Called with the name of the feed and the kind of each call; a list of several pages counts once. */
+        void called(String feed, CallKind kind);
+    }
+
     /** Receives the objects that a follower reads, on the event loop of the follower. */
     interface Listener<T> {
         /** Called with all objects of the kind; objects that are not in the batch do not exist. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -84,6 +84,7 @@
     private final FeedFollower<CrashRecord> crashesFollower;
     private final Map<ServiceName, AttemptBudget> budgetsByService = new HashMap<>();
     private final EntryRecord self;
+    private final GatewayMetrics metrics;
     private final PlatformPorts ports;
     private volatile boolean isDraining;
     private volatile boolean isIsolated;
@@ -102,7 +103,7 @@
                 settings.instance(),
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
                 System.currentTimeMillis());
-        GatewayMetrics metrics = new GatewayMetrics(registry);
+        this.metrics = new GatewayMetrics(registry);
         this.crashes = new CrashMonitor(
                 self.instance(), target -> target.client().probe(), ports.crashes(), loop, metrics, log);
         this.targets = new Targets(
@@ -282,6 +283,7 @@
 
     /** Registers this entry at the platform, and tries again until that succeeds. */
     private void register() {
+        metrics.countStoreCall("entries", FeedFollower.CallKind.WRITE);
         ports.entries()
                 .register(self)
                 .thenAccept(result -> loop.execute(() -> {
@@ -306,7 +308,8 @@
 
     private <T> FeedFollower<T> follower(
             String name, ObjectFeed<T> feed, FeedFollower.Pace pace, FeedFollower.Listener<T> listener) {
-        return new FeedFollower<>(name, feed, pace, eras, loop, GatewayComponents::readClocks, log, listener);
+        return new FeedFollower<>(
+                name, feed, pace, eras, loop, GatewayComponents::readClocks, log, listener, metrics::countStoreCall);
     }
 
     private static ClockReading readClocks() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.UniformReservoir;
 import io.endiveshed.coordination.service.ClientAccount;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -25,6 +26,13 @@
         registry.counter("gateway." + name).inc();
     }
 
+    /** Counts a call to the store for the objects of one feed. */
+    void countStoreCall(String feed, FeedFollower.CallKind kind) {
+        registry.counter("gateway.store_calls;feed=" + labelValue(feed).replace(' ', '_') + ";kind="
+                        + kind.name().toLowerCase(Locale.ROOT))
+                .inc();
+    }
+
     /**
      * Counts a response and records its latencies.
      *
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -17,8 +17,10 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -36,6 +38,7 @@
     private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
     private boolean hasAppliedAll = true;
+    private final Map<FeedFollower.CallKind, Integer> countedCalls = new EnumMap<>(FeedFollower.CallKind.class);
     private int outages;
     private long nowMillis;
 
@@ -54,6 +57,16 @@
         assertThat((long) feed.calls).isAtMost(allowedCalls);
     }
 
+    /** Guards against calls to the store that the metrics do not show, or show under another kind. */
+    @Test
+    void callsAreCountedByKind() {
+        startFollower(PACE);
+        advance(6_000);
+        assertThat(countedCalls).containsEntry(FeedFollower.CallKind.LIST, 1);
+        assertThat(countedCalls.values().stream().mapToInt(count -> count).sum())
+                .isEqualTo(feed.calls);
+    }
+
     /** Guards against a change of a quiet fleet that is known only after the minimum interval. */
     @Test
     void singleChangeIsKnownAtOnce() {
@@ -287,7 +300,8 @@
                 channel.eventLoop(),
                 () -> new ClockReading(TimeUnit.MILLISECONDS.toNanos(nowMillis), nowMillis),
                 EventLog.to(new PrintStream(new ByteArrayOutputStream())),
-                new RecordingListener());
+                new RecordingListener(),
+                (name, kind) -> countedCalls.merge(kind, 1, Integer::sum));
         channel.freezeTime();
         follower.start();
         advance(1);
