Let few entries of a failure domain read the store for the others

In a failure domain of at least three entries, the first one (from six entries on, two) by rendezvous hashing read for the others. Entries ask them with each heartbeat. An answer carries era, version, digest and age of each feed; the same digest confirms what the receiver knows as of its question less that age, a digest with a higher version makes it call the store at once. Without a confirmation within 0.6 of the bound (1.2 to 1.8 s), with an undecodable object in force or after a return of the store to a copy, and 10 s after its last own call, an entry calls the store itself. Entries of earlier builds name no failure domain and are not asked; domains of one or two entries are followed as before.

--- a/coordination/src/main/java/io/endiveshed/coordination/freshness/ClockReading.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/freshness/ClockReading.java
@@ -14,4 +14,9 @@
         long monotonic = (later.monotonicNanos - monotonicNanos) / NANOS_PER_MILLI;
         return Math.max(monotonic, later.wallMillis - wallMillis);
     }
+
+    /** Returns the reading that this clock would have given some milliseconds earlier. */
+    public ClockReading minusMillis(long millis) {
+        return new ClockReading(monotonicNanos - millis * NANOS_PER_MILLI, wallMillis - millis);
+    }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/freshness/Freshness.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/freshness/Freshness.java
@@ -29,4 +29,9 @@
     public long ageMillis(ClockReading now) {
         return confirmed == null ? Long.MAX_VALUE : confirmed.millisUntil(now);
     }
+
+    /** Returns this freshness, or that of another confirmation if it is younger now. */
+    public Freshness newer(ClockReading other, ClockReading now) {
+        return other.millisUntil(now) < ageMillis(now) ? confirmedAt(other) : this;
+    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/CrashMonitor.java
@@ -138,7 +138,7 @@
         records.toWrite(isFullyConnected, System.nanoTime(), System.currentTimeMillis())
                 .ifPresent(record -> {
                     isWriting = true;
-                    metrics.countStoreCall("crashes", FeedFollower.CallKind.WRITE);
+                    metrics.countStoreCall("crashes", StoreCalls.Kind.WRITE);
                     registry.write(record).thenAccept(result -> loop.execute(() -> written(record, result)));
                 });
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -3,6 +3,8 @@
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.Freshness;
+import io.endiveshed.coordination.sharing.FeedReport;
+import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.ObjectFeed;
 import io.endiveshed.ports.platform.StoreEra;
@@ -10,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -64,7 +67,11 @@
     private final Supplier<ClockReading> clock;
     private final EventLog log;
     private final Listener<T> listener;
-    private final CallCounter counter;
+    private final StoreCalls counter;
+    private FeedShare share;
+    private ClockReading lastCallStart;
+    private boolean isCalling;
+    private boolean isReadDue;
     private long version = -1;
     private long lastCall;
     private OptionalLong copyUntilNanos = OptionalLong.empty();
@@ -85,7 +92,7 @@
             Supplier<ClockReading> clock,
             EventLog log,
             Listener<T> listener,
-            CallCounter counter) {
+            StoreCalls counter) {
         this.name = name;
         this.feed = feed;
         this.pace = pace;
@@ -95,6 +102,7 @@
         this.log = log;
         this.listener = listener;
         this.counter = counter;
+        this.share = FeedShare.none(name);
     }
 
     void start() {
@@ -106,6 +114,49 @@
         isStopped = true;
     }
 
+    /** Shares the feed with the other entries of the failure domain; called before the start. */
+    void shareThrough(FeedSharing sharing, SharedFeed.Limits limits) {
+        share = FeedShare.of(name, sharing, limits);
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Returns whether the last call failed. */
+    boolean isStoreLost() {
+        return isStoreLost;
+    }
+
+    /** Returns what this entry tells others of the feed. */
+    Optional<FeedReport> report(ClockReading now) {
+        return share.report(now);
+    }
+
+    /** Considers what another entry tells in answer to a question that was sent at the given time. */
+    SharedFeed.Verdict receive(FeedReport report, ClockReading asked) {
+        ClockReading now = clock.get();
+        if (!isStoreLost) {
+            // Objects that are missing now may have expired in an outage in which this entry made no call.
+            share.newOutage(report, asked, now).ifPresent(listener::storeRegained);
+        }
+        SharedFeed.Verdict verdict = share.receive(report, asked, now, canRely());
+        if (verdict == SharedFeed.Verdict.CONFIRMED) {
+            freshness = freshness.newer(share.confirmedByPeers().confirmed(), now);
+        } else if (verdict == SharedFeed.Verdict.READ) {
+            readSoon(now);
+        }
+        return verdict;
+    }
+
+    private void readSoon(ClockReading now) {
+        if (isCalling || isReadDue) {
+            return;
+        }
+        isReadDue = true;
+        requestLater(Math.max(0, pace.minInterval().toMillis() - lastCallStart.millisUntil(now)));
+    }
+
     /** Sets an action that runs when the store answers again after one or more failed calls. */
     void whenReachable(Runnable action) {
         whenReachable = action;
@@ -134,7 +185,10 @@
         lastCall++;
         long call = lastCall;
         ClockReading start = clock.get();
-        counter.called(name, version < 0 ? CallKind.LIST : CallKind.WATCH);
+        lastCallStart = start;
+        isCalling = true;
+        isReadDue = false;
+        counter.called(name, version < 0 ? StoreCalls.Kind.LIST : StoreCalls.Kind.WATCH);
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::listed)));
         } else {
@@ -149,7 +203,7 @@
             return PROBE_WAIT;
         }
         if (copyUntilNanos.isEmpty()) {
-            return pace.watchTimeout();
+            return share.watchTimeout(pace.watchTimeout(), PROBE_WAIT);
         }
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(copyUntilNanos.getAsLong() - start.monotonicNanos());
         return remainingMillis < PROBE_WAIT.toMillis()
@@ -178,6 +232,7 @@
         if (isStopped || call != lastCall) {
             return;
         }
+        isCalling = false;
         if (result.isLeft()) {
             handleError(start, result.getLeft());
             return;
@@ -203,6 +258,7 @@
                     .with("age_ms", ageMillis())
                     .write();
             if (failuresInARow >= OUTAGE_FAILURES) {
+                share.outageEnded(lastFailureStart);
                 listener.storeRegained(lastFailureStart);
             }
             whenReachable.run();
@@ -213,15 +269,17 @@
         if (confirms) {
             copyUntilNanos = OptionalLong.empty();
             if (listener.hasAppliedAll()) {
-                freshness = Freshness.confirmedAt(start);
+                freshness = freshness.newer(start, clock.get());
             }
         }
+        share.read(batch, !isWatch, confirms && listener.hasAppliedAll() ? Optional.of(start) : Optional.empty());
         long delayMillis = isWatch ? delayAfterWatchMillis(batch, start.millisUntil(clock.get())) : 0;
-        if (delayMillis > 0) {
-            requestLater(delayMillis);
-        } else {
-            requestNext();
-        }
+        requestLater(delayMillis);
+    }
+
+    /** Returns whether all that was read is in force and is not from an older copy of the store. */
+    private boolean canRely() {
+        return copyUntilNanos.isEmpty() && listener.hasAppliedAll();
     }
 
     private boolean isConfirmation(ClockReading start, FeedBatch<T> batch, boolean isList) {
@@ -230,16 +288,25 @@
                 || listener.showsNewWrite(batch, isList);
     }
 
-    /** Requests after a delay, unless the objects are listed again meanwhile. */
+    /**
+     * Requests after a delay, unless the objects are listed again meanwhile. While other entries confirm the objects, no
+     * call is made.
+     */
     private void requestLater(long delayMillis) {
         long call = lastCall;
+        boolean mayRely = version >= 0 && !isReadDue && !isStoreLost && canRely();
+        long waitMillis = mayRely ? Math.max(delayMillis, share.millisUntilCall(clock.get())) : delayMillis;
+        if (waitMillis <= 0) {
+            requestNext();
+            return;
+        }
         loop.schedule(
                 () -> {
                     if (call == lastCall) {
-                        requestNext();
+                        requestLater(0);
                     }
                 },
-                delayMillis,
+                waitMillis,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -285,19 +352,6 @@
      */
     record Pace(Duration watchTimeout, Duration minInterval) {}
 
-    /** Kinds of calls to the store. */
-    enum CallKind {
-        LIST,
-        WATCH,
-        WRITE
-    }
-
-    /** Counts calls to the store. */
-    interface CallCounter {
-        /** Called with the name of the feed and the kind of each call; a list of several pages counts once. */
-        void called(String feed, CallKind kind);
-    }
-
     /** Receives the objects that a follower reads, on the event loop of the follower. */
     interface Listener<T> {
         /** Called with all objects of the kind; objects that are not in the batch do not exist. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.gateway.GatewaySettings;
 import io.endiveshed.ports.platform.ObjectFeed;
 import java.time.Duration;
@@ -45,8 +46,35 @@
     /** Minimum time between two watches on objects that change rarely, if the first one returned changes. */
     private static final Duration RARE_CHANGES_MIN_INTERVAL = Duration.ofSeconds(1);
 
+    /** Part of a bound after which an entry no longer relies on the others; the rest is for the call and its repetition. */
+    private static final double RELIANCE_PART = 0.6;
+
+    private static final Duration MIN_RELIANCE = Duration.ofMillis(1_200);
+
+    /** Maximum of the same time, which keeps the desired state as young as the own watches of 1 s do. */
+    private static final Duration MAX_RELIANCE = Duration.ofMillis(1_800);
+
+    /** Age of a confirmation by another entry at its arrival, beyond the duration of that entry's watch. */
+    private static final Duration QUESTION_AGE = Duration.ofMillis(600);
+
+    /** Time after which an entry calls the store whatever others say; bounds what forged datagrams can do. */
+    private static final Duration MAX_OWN_CALL_INTERVAL = Duration.ofSeconds(10);
+
     private FeedPaces() {}
 
+    /**
+     * Returns the limits for a feed that entries share, whose changes must be known within a bound. The age of what a
+     * reader confirms grows to two of its watches and the age of the question.
+     */
+    static SharedFeed.Limits shared(Duration bound) {
+        Duration reliance =
+                max(MIN_RELIANCE, min(MAX_RELIANCE, Duration.ofMillis((long) (bound.toMillis() * RELIANCE_PART))));
+        return new SharedFeed.Limits(
+                reliance.toMillis(),
+                MAX_OWN_CALL_INTERVAL.toMillis(),
+                reliance.minus(QUESTION_AGE).dividedBy(2).toMillis());
+    }
+
     static FeedFollower.Pace catalog() {
         return new FeedFollower.Pace(CATALOG_WATCH_TIMEOUT, CATALOG_MIN_INTERVAL);
     }
--- /dev/null
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
@@ -0,0 +1,119 @@
+package io.endiveshed.gateway.internal;
+
+import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.freshness.Freshness;
+import io.endiveshed.coordination.sharing.FeedReport;
+import io.endiveshed.coordination.sharing.SharedFeed;
+import io.endiveshed.ports.platform.FeedBatch;
+import io.endiveshed.ports.platform.FeedEvent;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Part that one follower takes in the sharing of feeds; without sharing it leaves the follower to its own pace. */
+final class FeedShare {
+    /** Time for which the end of an outage is told to others; targets write their entries again well within it. */
+    private static final long MAX_TOLD_OUTAGE_MILLIS = 10_000;
+
+    /** Difference in milliseconds up to which two entries mean the same outage. */
+    private static final long SAME_OUTAGE_MILLIS = 2_000;
+
+    private final Optional<FeedSharing> sharing;
+    private final SharedFeed feed;
+    private Freshness lastOutage = Freshness.NEVER;
+    private boolean hasRelied;
+
+    private FeedShare(Optional<FeedSharing> sharing, SharedFeed feed) {
+        this.sharing = sharing;
+        this.feed = feed;
+    }
+
+    /** Returns the part of a follower whose feed is not shared. */
+    static FeedShare none(String name) {
+        return new FeedShare(Optional.empty(), new SharedFeed(name, new SharedFeed.Limits(0, 0, 0)));
+    }
+
+    /** Returns the part of a follower whose feed is shared. */
+    static FeedShare of(String name, FeedSharing sharing, SharedFeed.Limits limits) {
+        return new FeedShare(Optional.of(sharing), new SharedFeed(name, limits));
+    }
+
+    private boolean isReader() {
+        return sharing.isPresent() && sharing.get().isReader();
+    }
+
+    /** Returns the timeout of the next watch; the first one after a time without calls only finds out what changed. */
+    Duration watchTimeout(Duration own, Duration probe) {
+        if (hasRelied) {
+            hasRelied = false;
+            return probe;
+        }
+        Duration forOthers = Duration.ofMillis(feed.limits().readerWatchMillis());
+        return isReader() && forOthers.compareTo(own) < 0 ? forOthers : own;
+    }
+
+    /** Returns the time in milliseconds for which no call is needed because other entries confirm the objects. */
+    long millisUntilCall(ClockReading now) {
+        long millis = sharing.isEmpty() || isReader() ? 0 : feed.millisUntilCall(now);
+        hasRelied |= millis > 0;
+        return millis;
+    }
+
+    /** Passes on what a call has returned, and when it started if it confirms all objects. */
+    void read(FeedBatch<?> batch, boolean isList, Optional<ClockReading> confirmed) {
+        if (sharing.isEmpty()) {
+            return;
+        }
+        if (isList) {
+            feed.objects().clear();
+        }
+        for (FeedEvent<?> event : batch.events()) {
+            if (event.value().isPresent() || event.isUnreadable()) {
+                feed.objects().put(event.name(), event.version());
+            } else {
+                feed.objects().remove(event.name());
+            }
+        }
+        feed.known(batch.era().number(), batch.upTo());
+        confirmed.ifPresent(feed::confirmed);
+        if (confirmed.isPresent() || !batch.events().isEmpty()) {
+            sharing.get().answer();
+        }
+    }
+
+    /** Returns what this entry tells others of the feed. */
+    Optional<FeedReport> report(ClockReading now) {
+        boolean isRecent = lastOutage.ageMillis(now) <= MAX_TOLD_OUTAGE_MILLIS;
+        return feed.report(isRecent ? lastOutage : Freshness.NEVER, now);
+    }
+
+    /** Considers the report of another entry; see {@link SharedFeed#receive}. */
+    SharedFeed.Verdict receive(FeedReport report, ClockReading asked, ClockReading now, boolean canBeConfirmed) {
+        return feed.receive(report, asked, now, canBeConfirmed);
+    }
+
+    /** Returns when other entries have last confirmed the objects. */
+    Freshness confirmedByPeers() {
+        return feed.confirmedByPeers();
+    }
+
+    /** Records an outage of this entry that has ended. */
+    void outageEnded(ClockReading lastFailure) {
+        lastOutage = Freshness.confirmedAt(lastFailure);
+    }
+
+    /**
+     * Returns the start of the last failed call of an outage that another entry tells of, if it is not known here; this
+     * entry may have made no call meanwhile.
+     */
+    Optional<ClockReading> newOutage(FeedReport report, ClockReading asked, ClockReading now) {
+        if (report.outageMillis().isEmpty()) {
+            return Optional.empty();
+        }
+        ClockReading lastFailure = asked.minusMillis(report.outageMillis().getAsLong());
+        if (lastOutage.ageMillis(now) - lastFailure.millisUntil(now) <= SAME_OUTAGE_MILLIS) {
+            return Optional.empty();
+        }
+        outageEnded(lastFailure);
+        return Optional.of(lastFailure);
+    }
+}
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -26,10 +26,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -82,6 +84,7 @@
     private final FeedFollower<TargetInstance> targetsFollower;
     private final FeedFollower<EntryRecord> entriesFollower;
     private final FeedFollower<CrashRecord> crashesFollower;
+    private final FeedSharing sharing;
     private final Map<ServiceName, AttemptBudget> budgetsByService = new HashMap<>();
     private final EntryRecord self;
     private final GatewayMetrics metrics;
@@ -102,7 +105,8 @@
         this.self = new EntryRecord(
                 settings.instance(),
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
-                System.currentTimeMillis());
+                System.currentTimeMillis(),
+                Optional.of(settings.domain()));
         this.metrics = new GatewayMetrics(registry);
         this.crashes = new CrashMonitor(
                 self.instance(), target -> target.client().probe(), ports.crashes(), loop, metrics, log);
@@ -134,6 +138,17 @@
         this.targetsFollower = follower("targets", ports.targets(), FeedPaces.targets(settings.bounds()), targets);
         this.entriesFollower = follower("entries", ports.entries(), FeedPaces.rareChanges(), peers);
         this.crashesFollower = follower("crashes", ports.crashes(), FeedPaces.rareChanges(), crashes);
+        this.sharing = new FeedSharing(
+                self.instance(),
+                settings.domain(),
+                peers::share,
+                new SecureRandom()::nextLong,
+                GatewayComponents::readClocks,
+                metrics::count,
+                log);
+        peers.whenShared(sharing::receive);
+        sharing.add(catalogFollower, FeedPaces.shared(settings.bounds().configurationApply()));
+        sharing.add(targetsFollower, FeedPaces.shared(settings.bounds().drain()));
         catalogFollower.whenReachable(() -> {
             entriesFollower.refresh();
             crashesFollower.refresh();
@@ -248,6 +263,7 @@
         limits.setEntries(peers.listedEntries()
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
                 .orElse(Set.of()));
+        sharing.ask(peers.heardIn(settings.domain()));
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
         backlogs.removeOverdue();
@@ -283,7 +299,7 @@
 
     /** Registers this entry at the platform, and tries again until that succeeds. */
     private void register() {
-        metrics.countStoreCall("entries", FeedFollower.CallKind.WRITE);
+        metrics.countStoreCall("entries", StoreCalls.Kind.WRITE);
         ports.entries()
                 .register(self)
                 .thenAccept(result -> loop.execute(() -> {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayMetrics.java
@@ -27,7 +27,7 @@
     }
 
     /** Counts a call to the store for the objects of one feed. */
-    void countStoreCall(String feed, FeedFollower.CallKind kind) {
+    void countStoreCall(String feed, StoreCalls.Kind kind) {
         registry.counter("gateway.store_calls;feed=" + labelValue(feed).replace(' ', '_') + ";kind="
                         + kind.name().toLowerCase(Locale.ROOT))
                 .inc();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerCodec.java
@@ -33,6 +33,8 @@
     private static final int ENDED = 2;
     private static final int CRASHED = 5;
     private static final int ANSWERED = 6;
+    private static final int SHARING_QUESTION = 7;
+    private static final int SHARING_ANSWER = 8;
 
     /** Maximum number of engines in one notice: the primary engine and its helpers. */
     private static final int MAX_ENGINES = 17;
@@ -88,6 +90,15 @@
         });
     }
 
+    /** Encodes a datagram by which entries share what they read from the store. */
+    static byte[] sharing(PeerIncarnation sender, SharingMessage message) {
+        if (message instanceof SharingMessage.Question question) {
+            return pack(sender, SHARING_QUESTION, packer -> SharingCodec.writeQuestion(packer, question));
+        }
+        SharingMessage.Answer answer = (SharingMessage.Answer) message;
+        return pack(sender, SHARING_ANSWER, packer -> SharingCodec.writeAnswer(packer, answer));
+    }
+
     /** Encodes the crash of a target; the most specific of its traits come first, and those beyond the maximum are left out. */
     static byte[] crashed(PeerIncarnation sender, TargetCrash crash) {
         return pack(sender, CRASHED, packer -> {
@@ -169,6 +180,9 @@
                     Optional.of(PeerDatagram.ofEnd(sender, new End(unpacker.unpackLong(), unpacker.unpackFloat())));
                 case CRASHED -> Optional.of(PeerDatagram.ofCrash(sender, readCrash(unpacker)));
                 case ANSWERED -> Optional.of(PeerDatagram.ofAnswers(sender, readAnswers(unpacker)));
+                case SHARING_QUESTION ->
+                    Optional.of(PeerDatagram.ofSharing(sender, SharingCodec.readQuestion(unpacker)));
+                case SHARING_ANSWER -> Optional.of(PeerDatagram.ofSharing(sender, SharingCodec.readAnswer(unpacker)));
                 default -> Optional.empty();
             };
         } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -328,47 +342,4 @@
      * @param remainingPrefillMillis prefill in milliseconds that each engine of the prompt is spared
      */
     record End(long number, double remainingPrefillMillis) {}
-
-    /**
-     * Decoded datagram, of which one field after the sender is set.
-     *
-     * @param sender entry that sent it
-     * @param heartbeat state of the sender
-     * @param started prompt that started
-     * @param ended prompt that ended
-     * @param crash target that crashed
-     * @param answers answers to requests that are suspected of crashes
-     */
-    record PeerDatagram(
-            PeerIncarnation sender,
-            Optional<Heartbeat> heartbeat,
-            Optional<PlacementNotice> started,
-            Optional<End> ended,
-            Optional<TargetCrash> crash,
-            List<AnsweredTrait> answers) {
-        private static PeerDatagram ofHeartbeat(PeerIncarnation sender, Heartbeat heartbeat) {
-            return new PeerDatagram(
-                    sender, Optional.of(heartbeat), Optional.empty(), Optional.empty(), Optional.empty(), List.of());
-        }
-
-        private static PeerDatagram ofStart(PeerIncarnation sender, PlacementNotice started) {
-            return new PeerDatagram(
-                    sender, Optional.empty(), Optional.of(started), Optional.empty(), Optional.empty(), List.of());
-        }
-
-        private static PeerDatagram ofEnd(PeerIncarnation sender, End ended) {
-            return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.of(ended), Optional.empty(), List.of());
-        }
-
-        private static PeerDatagram ofCrash(PeerIncarnation sender, TargetCrash crash) {
-            return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(crash), List.of());
-        }
-
-        private static PeerDatagram ofAnswers(PeerIncarnation sender, List<AnsweredTrait> answers) {
-            return new PeerDatagram(
-                    sender, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), answers);
-        }
-    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.crash.AnsweredTrait;
@@ -9,7 +10,6 @@
 import io.endiveshed.coordination.limit.LimitNotice;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.gateway.EntryRecord;
-import io.endiveshed.gateway.internal.PeerCodec.PeerDatagram;
 import io.endiveshed.gateway.internal.PeerCodec.PeerIncarnation;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
@@ -32,6 +32,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
 
 /**
  * Sends notices of the prompts that this entry places, and of targets that crash, to the other entries, and receives
@@ -54,6 +56,8 @@
     private final Runnable whenUnlisted;
     private final Map<InstanceId, InetSocketAddress> listedAddresses = new HashMap<>();
     private final Map<InstanceId, PeerState> activePeers = new HashMap<>();
+    private final Map<InstanceId, FailureDomain> listedDomains = new HashMap<>();
+    private BiConsumer<InstanceId, SharingMessage> sharingListener = (sender, message) -> {};
     private final OwnPlacements ownPlacements = new OwnPlacements();
     private Channel channel;
     private int lastOwner;
@@ -113,6 +117,27 @@
         return Set.copyOf(activePeers.keySet());
     }
 
+    /** Returns the other entries of a failure domain that are listed and have sent datagrams recently. */
+    Set<InstanceId> heardIn(FailureDomain domain) {
+        return activePeers.keySet().stream()
+                .filter(entry -> domain.equals(listedDomains.get(entry)))
+                .collect(Collectors.toSet());
+    }
+
+    /** Sets who receives what other entries share of the store. */
+    void whenShared(BiConsumer<InstanceId, SharingMessage> listenerOfSharing) {
+        sharingListener = listenerOfSharing;
+    }
+
+    /** Sends what this entry shares of the store to another one. */
+    void share(InstanceId entry, SharingMessage message) {
+        InetSocketAddress peerAddress = listedAddresses.get(entry);
+        if (peerAddress != null) {
+            byte[] bytes = PeerCodec.sharing(self, message);
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peerAddress));
+        }
+    }
+
     /**
      * Returns whether all listed entries exchange datagrams with each other, as far as this entry receives their
      * heartbeats. Otherwise some of them learn only from the store what others have seen.
@@ -216,8 +241,11 @@
                 EntryRecord record = event.value().get();
                 Endpoint endpoint = record.peerAddress();
                 listedAddresses.put(record.instance(), endpoint.socketAddress());
+                listedDomains.remove(record.instance());
+                record.domain().ifPresent(domain -> listedDomains.put(record.instance(), domain));
             }
         }
+        listedDomains.keySet().retainAll(listedAddresses.keySet());
         sendPlacementsToNewPeers();
     }
 
@@ -258,6 +286,7 @@
         datagram.started().ifPresent(notice -> listener.started(owner, notice));
         datagram.ended().ifPresent(end -> listener.ended(owner, end.number(), end.remainingPrefillMillis()));
         datagram.crash().ifPresent(crash -> crashListener.crashedElsewhere(sender.instance(), crash));
+        datagram.sharing().ifPresent(message -> sharingListener.accept(sender.instance(), message));
         if (!datagram.answers().isEmpty()) {
             crashListener.answeredElsewhere(datagram.answers());
         }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -38,7 +38,7 @@
     private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
     private boolean hasAppliedAll = true;
-    private final Map<FeedFollower.CallKind, Integer> countedCalls = new EnumMap<>(FeedFollower.CallKind.class);
+    private final Map<StoreCalls.Kind, Integer> countedCalls = new EnumMap<>(StoreCalls.Kind.class);
     private int outages;
     private long nowMillis;
 
@@ -62,7 +62,7 @@
     void callsAreCountedByKind() {
         startFollower(PACE);
         advance(6_000);
-        assertThat(countedCalls).containsEntry(FeedFollower.CallKind.LIST, 1);
+        assertThat(countedCalls).containsEntry(StoreCalls.Kind.LIST, 1);
         assertThat(countedCalls.values().stream().mapToInt(count -> count).sum())
                 .isEqualTo(feed.calls);
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerCodecTest.java
@@ -9,6 +9,7 @@
 import io.endiveshed.coordination.crash.RequestTrait.Kind;
 import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.limit.LimitNotice;
+import io.endiveshed.coordination.sharing.FeedReport;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
@@ -49,14 +50,12 @@
     /** Guards against a field that is lost or changed between two entries. */
     @Test
     void decodesWhatWasEncoded() {
-        PeerCodec.PeerDatagram started =
-                PeerCodec.read(PeerCodec.started(SENDER, NOTICE)).orElseThrow();
+        PeerDatagram started = PeerCodec.read(PeerCodec.started(SENDER, NOTICE)).orElseThrow();
         assertThat(started.sender()).isEqualTo(SENDER);
         assertThat(started.started()).isEqualTo(Optional.of(NOTICE));
-        PeerCodec.PeerDatagram ended =
-                PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
+        PeerDatagram ended = PeerCodec.read(PeerCodec.ended(SENDER, 7, 12.5)).orElseThrow();
         assertThat(ended.ended()).isEqualTo(Optional.of(new PeerCodec.End(7, 12.5)));
-        PeerCodec.PeerDatagram heartbeat = PeerCodec.read(
+        PeerDatagram heartbeat = PeerCodec.read(
                         PeerCodec.heartbeat(SENDER, 1_200, List.of(BLOCKED), List.of(LIMIT, NO_LIMIT), 3))
                 .orElseThrow();
         assertThat(heartbeat.started()).isEqualTo(Optional.empty());
@@ -66,13 +65,39 @@
         assertThat(started.heartbeat()).isEqualTo(Optional.empty());
     }
 
+    /** Guards against feeds that count as confirmed at another time than the sender has told. */
+    @Test
+    void decodesWhatEntriesShareOfTheStore() {
+        SharingMessage question = new SharingMessage.Question(Long.MIN_VALUE);
+        FeedReport confirmed = new FeedReport("targets", 3, 900, -5, OptionalLong.of(40), OptionalLong.empty());
+        FeedReport unconfirmed = new FeedReport("crashes", 3, 900, 7, OptionalLong.empty(), OptionalLong.of(9_000));
+        SharingMessage answer = new SharingMessage.Answer(42, List.of(confirmed, unconfirmed));
+        for (SharingMessage message : List.of(question, answer)) {
+            PeerDatagram read =
+                    PeerCodec.read(PeerCodec.sharing(SENDER, message)).orElseThrow();
+            assertThat(read.sharing()).isEqualTo(Optional.of(message));
+        }
+    }
+
+    /** Guards against an age below zero, which would make knowledge younger than the question. */
+    @Test
+    void impossibleAgesAreNotKnown() {
+        for (long age : new long[] {-1, -1_000, Long.MIN_VALUE, Long.MAX_VALUE}) {
+            FeedReport report = new FeedReport("targets", 3, 9, 5, OptionalLong.of(age), OptionalLong.of(age));
+            byte[] bytes = PeerCodec.sharing(SENDER, new SharingMessage.Answer(42, List.of(report)));
+            SharingMessage.Answer read = (SharingMessage.Answer)
+                    PeerCodec.read(bytes).orElseThrow().sharing().orElseThrow();
+            assertThat(read.feeds().get(0).ageMillis()).isEqualTo(OptionalLong.empty());
+            assertThat(read.feeds().get(0).outageMillis()).isEqualTo(OptionalLong.empty());
+        }
+    }
+
     /** Guards against crashes and answers that other entries attribute to the wrong engine or parts. */
     @Test
     void decodesCrashesAndAnswers() {
-        PeerCodec.PeerDatagram crashed =
-                PeerCodec.read(PeerCodec.crashed(SENDER, CRASH)).orElseThrow();
+        PeerDatagram crashed = PeerCodec.read(PeerCodec.crashed(SENDER, CRASH)).orElseThrow();
         assertThat(crashed.crash()).isEqualTo(Optional.of(CRASH));
-        PeerCodec.PeerDatagram answered =
+        PeerDatagram answered =
                 PeerCodec.read(PeerCodec.answered(SENDER, List.of(ANSWERED))).orElseThrow();
         assertThat(answered.answers()).containsExactly(ANSWERED);
         assertThat(answered.crash()).isEqualTo(Optional.empty());
@@ -85,8 +110,7 @@
         for (int i = 0; i < 100; i++) {
             traits.add(new RequestTrait(Kind.PROMPT_PART, "part" + i));
         }
-        PeerCodec.PeerDatagram crashed = PeerCodec.read(
-                        PeerCodec.crashed(SENDER, new TargetCrash(CRASH.target(), 1, traits)))
+        PeerDatagram crashed = PeerCodec.read(PeerCodec.crashed(SENDER, new TargetCrash(CRASH.target(), 1, traits)))
                 .orElseThrow();
         assertThat(crashed.crash().orElseThrow().traits()).contains(new RequestTrait(Kind.REQUEST, "culprit"));
         assertThat(crashed.crash().orElseThrow().traits()).hasSize(64);
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/PeerExchangeTest.java
@@ -89,6 +89,31 @@
         second.exchange.stop();
     }
 
+    /** Guards against an entry that relies on one of another domain, or of an earlier build, which answers nothing. */
+    @Test
+    void onlyEntriesOfTheSameDomainAreAskedToReadTheStore() throws Exception {
+        Entry first = new Entry("entry-1", 1);
+        Entry second = new Entry("entry-2", 1);
+        first.start();
+        second.start();
+        second.receiveListOf(first);
+        runOnLoop(() -> second.exchange.heartbeat(0, List.of(), List.of()));
+        await(() -> !first.exchange.heardEntries().isEmpty());
+        first.receiveListOf(second);
+        assertThat(onLoop(() -> first.exchange.heardIn(new FailureDomain("north"))))
+                .containsExactly(second.record.instance());
+        assertThat(onLoop(() -> first.exchange.heardIn(new FailureDomain("south"))))
+                .isEmpty();
+        EntryRecord earlier =
+                new EntryRecord(second.record.instance(), second.record.peerAddress(), 1, Optional.empty());
+        runOnLoop(() -> first.exchange.changed(
+                new FeedBatch<>(List.of(new FeedEvent<>("entry-2", 2, Optional.of(earlier))), 2)));
+        assertThat(onLoop(() -> first.exchange.heardIn(new FailureDomain("north"))))
+                .isEmpty();
+        first.exchange.stop();
+        second.exchange.stop();
+    }
+
     /** Guards against entries that stop telling each other of prompts because the store has lost their records. */
     @Test
     void entriesThatAreHeardOfAreKeptWhileAnOlderCopyOfTheStoreDoesNotListThem() throws Exception {
@@ -236,7 +261,10 @@
         Entry(String name, long startedMillis) throws SocketException {
             InetSocketAddress address = freeAddress();
             record = new EntryRecord(
-                    new InstanceId(name), new Endpoint(address.getHostString(), address.getPort()), startedMillis);
+                    new InstanceId(name),
+                    new Endpoint(address.getHostString(), address.getPort()),
+                    startedMillis,
+                    Optional.of(new FailureDomain("north")));
             crashes = new CrashMonitor(
                     record.instance(),
                     engines,
