--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -2,8 +2,8 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
-import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.service.DomainRegions;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.settings.Section;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway.internal;
 
+import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.gateway.GatewaySettings;
 import io.endiveshed.ports.platform.ObjectFeed;
 import java.time.Duration;
@@ -50,8 +51,43 @@
     /** Part of the time for an evacuation that a change may wait after another one was read. */
     private static final double EVACUATION_PART = 0.2;
 
+    /** Part of a bound after which an entry no longer relies on the others; the rest is for the call and its repetition. */
+    private static final double RELIANCE_PART = 0.6;
+
+    private static final Duration MIN_RELIANCE = Duration.ofMillis(1_200);
+
+    /** Maximum of the same time, which keeps the desired state as young as the own watches of 1 s do. */
+    private static final Duration MAX_RELIANCE = Duration.ofMillis(1_800);
+
+    /** Age of a confirmation by another entry at its arrival, beyond the duration of that entry's watch. */
+    private static final Duration QUESTION_AGE = Duration.ofMillis(600);
+
+    /** Time after which an entry calls the store whatever others say; bounds what forged datagrams can do. */
+    private static final Duration MAX_OWN_CALL_INTERVAL = Duration.ofSeconds(10);
+
     private FeedPaces() {}
 
+    /**
+     * Returns the limits for a feed that entries share, whose changes must be known within a bound. The age of what a
+     * reader confirms grows to two of its watches and the age of the question.
+     */
+    static SharedFeed.Limits shared(Duration bound) {
+        return relying(max(
+                MIN_RELIANCE, min(MAX_RELIANCE, Duration.ofMillis((long) (bound.toMillis() * RELIANCE_PART)))));
+    }
+
+    /** Returns the limits for the shared feed of evacuations: nobody relies on others for longer than a watch may be lost. */
+    static SharedFeed.Limits sharedEvacuations(GatewaySettings.Bounds bounds) {
+        return relying(max(MIN_RELIANCE, evacuations(bounds).watchTimeout()));
+    }
+
+    private static SharedFeed.Limits relying(Duration reliance) {
+        return new SharedFeed.Limits(
+                reliance.toMillis(),
+                MAX_OWN_CALL_INTERVAL.toMillis(),
+                reliance.minus(QUESTION_AGE).dividedBy(2).toMillis());
+    }
+
     static FeedFollower.Pace catalog() {
         return new FeedFollower.Pace(CATALOG_WATCH_TIMEOUT, CATALOG_MIN_INTERVAL);
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -28,10 +28,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -86,8 +88,10 @@
     private final FeedFollower<EntryRecord> entriesFollower;
     private final FeedFollower<CrashRecord> crashesFollower;
     private final FeedFollower<FailureDomain> evacuationsFollower;
+    private final FeedSharing sharing;
     private final Map<ServiceName, AttemptBudget> budgetsByService = new HashMap<>();
     private final EntryRecord self;
+    private final GatewayMetrics metrics;
     private final PlatformPorts ports;
     private volatile boolean isDraining;
     private volatile boolean isIsolated;
@@ -105,8 +109,9 @@
         this.self = new EntryRecord(
                 settings.instance(),
                 new Endpoint(settings.peers().getHostString(), settings.peers().getPort()),
-                System.currentTimeMillis());
-        GatewayMetrics metrics = new GatewayMetrics(registry);
+                System.currentTimeMillis(),
+                Optional.of(settings.domain()));
+        this.metrics = new GatewayMetrics(registry);
         this.crashes = new CrashMonitor(
                 self.instance(), target -> target.client().probe(), ports.crashes(), loop, metrics, log);
         this.targets = new Targets(
@@ -145,6 +150,20 @@
         this.crashesFollower = follower("crashes", ports.crashes(), FeedPaces.rareChanges(), crashes);
         this.evacuationsFollower =
                 follower("evacuations", ports.evacuations(), FeedPaces.evacuations(settings.bounds()), evacuations);
+        this.sharing = new FeedSharing(
+                self.instance(),
+                settings.domain(),
+                peers::share,
+                new SecureRandom()::nextLong,
+                GatewayComponents::readClocks,
+                metrics::count,
+                log);
+        peers.whenShared(sharing::receive);
+        sharing.add(catalogFollower, FeedPaces.shared(settings.bounds().configurationApply()));
+        sharing.add(targetsFollower, FeedPaces.shared(settings.bounds().drain()));
+        if (settings.bounds().evacuation().isPresent()) {
+            sharing.add(evacuationsFollower, FeedPaces.sharedEvacuations(settings.bounds()));
+        }
         catalogFollower.whenReachable(() -> {
             evacuationsFollower.refresh();
             entriesFollower.refresh();
@@ -264,11 +283,12 @@
         peers.heartbeat(stateAgeMillis, crashes.blocked(), limits.notices());
         boolean hasStoreContact =
                 stateAgeMillis <= settings.bounds().contactWindow().toMillis();
-        SharingEntries sharing = peers.listedEntries()
+        SharingEntries sharingEntries = peers.listedEntries()
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
                 .orElse(SharingEntries.NONE);
-        limits.setEntries(sharing.entries());
-        cold.setSharing(sharing);
+        limits.setEntries(sharingEntries.entries());
+        cold.setSharing(sharingEntries);
+        sharing.ask(peers.heardIn(settings.domain()));
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
         evacuations.logUnknown(targets.domains());
@@ -305,6 +325,7 @@
 
     /** Registers this entry at the platform, and tries again until that succeeds. */
     private void register() {
+        metrics.countStoreCall("entries", StoreCalls.Kind.WRITE);
         ports.entries()
                 .register(self)
                 .thenAccept(result -> loop.execute(() -> {
@@ -329,7 +350,8 @@
 
     private <T> FeedFollower<T> follower(
             String name, ObjectFeed<T> feed, FeedFollower.Pace pace, FeedFollower.Listener<T> listener) {
-        return new FeedFollower<>(name, feed, pace, eras, loop, GatewayComponents::readClocks, log, listener);
+        return new FeedFollower<>(
+                name, feed, pace, eras, loop, GatewayComponents::readClocks, log, listener, metrics::countStoreCall);
     }
 
     private static ClockReading readClocks() {
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -2,9 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.Region;
+import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.settings.SettingsError;
 import java.time.Duration;
 import java.util.List;
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/EvacuationMonitorTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/EvacuationMonitorTest.java
@@ -156,7 +156,8 @@
                         channel.eventLoop(),
                         () -> new ClockReading(nowNanos(), nowMillis),
                         log,
-                        monitor)
+                        monitor,
+                        (name, kind) -> {})
                 .start();
         advance(1);
     }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -18,8 +18,10 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -37,6 +39,7 @@
     private FakeFeed feed = new FakeFeed();
     private final Set<String> known = new HashSet<>();
     private boolean hasAppliedAll = true;
+    private final Map<StoreCalls.Kind, Integer> countedCalls = new EnumMap<>(StoreCalls.Kind.class);
     private int outages;
     private long nowMillis;
 
@@ -55,6 +58,16 @@
         assertThat((long) feed.calls).isAtMost(allowedCalls);
     }
 
+    /** Guards against calls to the store that the metrics do not show, or show under another kind. */
+    @Test
+    void callsAreCountedByKind() {
+        startFollower(PACE);
+        advance(6_000);
+        assertThat(countedCalls).containsEntry(StoreCalls.Kind.LIST, 1);
+        assertThat(countedCalls.values().stream().mapToInt(count -> count).sum())
+                .isEqualTo(feed.calls);
+    }
+
     /** Guards against a change of a quiet fleet that is known only after the minimum interval. */
     @Test
     void singleChangeIsKnownAtOnce() {
@@ -333,7 +346,8 @@
                 channel.eventLoop(),
                 () -> new ClockReading(TimeUnit.MILLISECONDS.toNanos(nowMillis), nowMillis),
                 EventLog.to(new PrintStream(new ByteArrayOutputStream())),
-                new RecordingListener());
+                new RecordingListener(),
+                (name, kind) -> countedCalls.merge(kind, 1, Integer::sum));
         channel.freezeTime();
         follower.start();
         advance(1);
