Decide the division of cold rates in coordination, without a copy in the test

ColdTargets in the gateway kept since when the rates are divided among the same entries, and the simulation of the tests repeated that rule. ColdSharing now holds it, the gate computes its own share, and the simulation runs the same code; a planted fault is a change of what it is given. RequestLimitsTest covers what other entries tell of cold targets.

--- a/coordination/src/main/java/io/endiveshed/coordination/limit/ColdStartGate.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/ColdStartGate.java
@@ -1,5 +1,6 @@
 package io.endiveshed.coordination.limit;
 
+import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.coordination.availability.RequestGate;
 import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.service.ColdReading;
@@ -19,7 +20,7 @@
  *
  * <pre>{@code
  * gate.observeStart(nowNanos);
- * gate.setShare(ColdShare.of(coldStart, bounds, target, self, sharing), sharingSinceNanos, nowNanos);
+ * gate.renewShare(sharing, nowNanos);
  * if (gate.status(nowNanos).isAvailable()) {
  *     gate.acquire(nowNanos);
  * }
@@ -35,12 +36,6 @@
         UNREACHABLE
     }
 
-    /**
-     * Time after which a share that was not set again ends: three heartbeats. Other entries take over the share of one
-     * that is silent for 2 s.
-     */
-    private static final long SHARE_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
     /**
      * Time before the first use of a new share. Within two heartbeats, the other entries have lowered theirs.
      */
@@ -55,6 +50,7 @@
      */
     private static final long MAX_UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+    private final InstanceId target;
     private final Supplier<ColdStart> coldStart;
     private final Map<Source, Long> endNanos = new EnumMap<>(Source.class);
     private Optional<ColdReading> stored = Optional.empty();
@@ -62,13 +58,17 @@
     private Optional<Long> startNanos = Optional.empty();
     private boolean isUnreachable;
     private ColdShare share = ColdShare.NONE;
-    private long shareSetNanos;
+    private ColdStart sharedRule = ColdStart.NONE;
+    private SharingEntries sharedEntries = SharingEntries.NONE;
+    private long shareRenewedNanos;
     private long shareFromNanos;
     private boolean hasSent;
     private long lastSentNanos;
+    private boolean wasCold;
 
     /** Creates the gate of a target whose service has the rule that the supplier returns. */
-    public ColdStartGate(Supplier<ColdStart> coldStart) {
+    public ColdStartGate(InstanceId target, Supplier<ColdStart> coldStart) {
+        this.target = target;
         this.coldStart = coldStart;
     }
 
@@ -133,21 +133,21 @@
         endNanos.merge(source, end, (before, now) -> now - before > 0 ? now : before);
     }
 
-    /**
-     * Sets the share of this entry, or confirms it.
-     *
-     * @param newShare the share
-     * @param sharingSinceNanos time since when the rate is divided among the same entries
-     */
-    public void setShare(ColdShare newShare, long sharingSinceNanos, long nowNanos) {
+    /** Confirms the share of this entry at each heartbeat, after it was computed anew if the rule or the entries changed. */
+    public void renewShare(ColdSharing sharing, long nowNanos) {
+        ColdStart rule = coldStart.get();
         if (!isShareInForce(nowNanos)) {
-            shareFromNanos = sharingSinceNanos + NEW_SHARE_DELAY_NANOS;
+            shareFromNanos = sharing.sinceNanos() + NEW_SHARE_DELAY_NANOS;
+        }
+        if (!rule.equals(sharedRule) || !sharing.entries().equals(sharedEntries)) {
+            sharedRule = rule;
+            sharedEntries = sharing.entries();
+            share = ColdShare.of(rule, sharing.bounds(), target, sharing.self(), sharedEntries);
         }
-        share = newShare;
-        shareSetNanos = nowNanos;
+        shareRenewedNanos = nowNanos;
     }
 
-    /** Returns the share that was set last. */
+    /** Returns the share that was computed last. */
     public ColdShare share() {
         return share;
     }
@@ -162,6 +162,13 @@
         return isLimited() && remainingNanos(nowNanos) > 0;
     }
 
+    /** Returns whether the target has become cold or warm since the last call. */
+    public boolean hasChanged(long nowNanos) {
+        boolean before = wasCold;
+        wasCold = isCold(nowNanos);
+        return wasCold != before;
+    }
+
     /** Returns the time in milliseconds for which the target remains cold; 0 if it is not. */
     public long remainingMillis(long nowNanos) {
         return toMillis(remainingNanos(nowNanos));
@@ -224,7 +231,7 @@
     }
 
     private boolean isShareInForce(long nowNanos) {
-        return share.allowsRequests() && nowNanos - shareSetNanos <= SHARE_LIFETIME_NANOS;
+        return share.allowsRequests() && nowNanos - shareRenewedNanos <= ColdSharing.LIFETIME_NANOS;
     }
 
     @Override
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/ColdStartTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/ColdStartTest.java
@@ -19,6 +19,7 @@
     private static final ColdStart RULE = new ColdStart(Duration.ofSeconds(60), 28);
     private static final ColdBounds BOUNDS = new ColdBounds(1.5, 5);
     private static final int MOST = 47;
+    private static final InstanceId TARGET = new InstanceId("target-1");
 
     /** Guards against entries that together exceed the rate while they join, leave, freeze and lose contact. */
     @ParameterizedTest
@@ -26,9 +27,9 @@
     void allEntriesTogetherKeepToTheRateWhateverHappensToThem(int entries, double rate) {
         ColdStart rule = new ColdStart(RULE.duration(), rate);
         for (long seed = 1; seed <= 40; seed++) {
-            LimitSimulation simulation = new LimitSimulation(seed, 1, FIRST_ENTRIES);
+            LimitSimulation simulation = new LimitSimulation(seed, 1, FIRST_ENTRIES, BOUNDS);
             simulation.run(3_000);
-            simulation.startCold(rule, BOUNDS, Fault.NONE);
+            simulation.startCold(rule, Fault.NONE);
             simulation.run(1_000);
             simulation.addEntries(entries - FIRST_ENTRIES);
             for (int i = 0; i < 40; i++) {
@@ -44,9 +45,9 @@
     @CsvSource({"5", "28", "43"})
     void brokenVariantsExceedTheRate(int entries) {
         for (Fault fault : Fault.values()) {
-            LimitSimulation simulation = new LimitSimulation(1, 1, 1);
+            LimitSimulation simulation = new LimitSimulation(1, 1, 1, BOUNDS);
             simulation.run(3_000);
-            simulation.startCold(RULE, BOUNDS, fault);
+            simulation.startCold(RULE, fault);
             simulation.run(2_000);
             for (int i = 1; i < entries; i++) {
                 simulation.addEntries(1);
@@ -70,9 +71,9 @@
     @ParameterizedTest
     @CsvSource({"5", "28", "43"})
     void entriesUseMostOfTheDividedRate(int entries) {
-        LimitSimulation simulation = new LimitSimulation(3, 1, entries);
+        LimitSimulation simulation = new LimitSimulation(3, 1, entries, BOUNDS);
         simulation.run(5_000);
-        simulation.startCold(RULE, BOUNDS, Fault.NONE);
+        simulation.startCold(RULE, Fault.NONE);
         simulation.run(3_000);
         int before = simulation.sent();
         simulation.run(20_000);
@@ -82,7 +83,7 @@
     /** Guards against a cold time that starts anew with each reading of an unchanged object, or that a copy shortens. */
     @Test
     void coldTimeCountsFromTheFirstReadingOfWhatWasWritten() {
-        ColdStartGate gate = new ColdStartGate(() -> RULE);
+        ColdStartGate gate = new ColdStartGate(TARGET, () -> RULE);
         gate.observeStored(new ColdReading(4_000, seconds(10)), 7, true);
         gate.observeStored(new ColdReading(4_000, seconds(12)), 7, false);
         assertThat(gate.remainingMillis(seconds(12))).isEqualTo(2_000L);
@@ -100,7 +101,7 @@
     /** Guards against requests at full rate to a target that was away and may be back without having been read. */
     @Test
     void targetThatWasUnreachableCountsAsColdUntilItHasAnsweredForItsColdTime() {
-        ColdStartGate gate = new ColdStartGate(() -> RULE);
+        ColdStartGate gate = new ColdStartGate(TARGET, () -> RULE);
         gate.observeUnreachable(seconds(1));
         assertThat(gate.isCold(seconds(80))).isTrue();
         gate.observeAnswer(seconds(80));
@@ -114,7 +115,7 @@
     /** Guards against limits for services that have none. */
     @Test
     void serviceWithoutARateIsNotLimited() {
-        ColdStartGate gate = new ColdStartGate(() -> ColdStart.NONE);
+        ColdStartGate gate = new ColdStartGate(TARGET, () -> ColdStart.NONE);
         gate.observeStart(seconds(1));
         gate.observeResponse(60_000, seconds(1));
         gate.observeUnreachable(seconds(1));
--- a/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/LimitSimulation.java
@@ -32,7 +32,6 @@
     private static final int MAX_HEARTBEAT_DELAY_MILLIS = 300;
 
     private static final long LIST_DELAY_MILLIS = 100;
-    private static final long SHARE_LIFETIME_MILLIS = 1_500;
     private static final long WINDOW_MILLIS = 4_000;
 
     /** Seconds over which the requests to a cold target are bounded, and the time for which one may be under way. */
@@ -56,7 +55,7 @@
     private final Deque<Long> counted = new ArrayDeque<>();
     private final List<Long> coldArrivals = new ArrayList<>();
     private ColdStart coldStart = ColdStart.NONE;
-    private ColdBounds coldBounds = ColdBounds.DEFAULTS;
+    private final ColdBounds coldBounds;
     private Fault fault = Fault.NONE;
     private long coldFromMillis;
     private boolean namesLimit;
@@ -66,8 +65,13 @@
     private int sent;
 
     LimitSimulation(long seed, double limit, int entryCount) {
+        this(seed, limit, entryCount, ColdBounds.DEFAULTS);
+    }
+
+    LimitSimulation(long seed, double limit, int entryCount, ColdBounds coldBounds) {
         this.random = new Random(seed);
         this.limit = limit;
+        this.coldBounds = coldBounds;
         addEntries(entryCount);
     }
 
@@ -80,9 +84,8 @@
     }
 
     /** Starts the target anew and cold; entries know it once they have read its object. */
-    void startCold(ColdStart rule, ColdBounds bounds, Fault plantedFault) {
+    void startCold(ColdStart rule, Fault plantedFault) {
         coldStart = rule;
-        coldBounds = bounds;
         fault = plantedFault;
         coldFromMillis = nowMillis;
     }
@@ -220,12 +223,10 @@
         private boolean isOutdated = true;
         private boolean hadStoreContact;
         private SharingEntries selection = SharingEntries.NONE;
-        private final ColdStartGate gate = new ColdStartGate(() -> coldStart);
+        private final ColdStartGate gate = new ColdStartGate(TARGET, () -> coldStart);
         private final long readDelayMillis = random.nextInt(MAX_READ_DELAY_MILLIS);
         private boolean hasReadTarget;
-        private ColdShare coldShare = ColdShare.NONE;
-        private long sharingSinceNanos;
-        private long lastHeartbeatMillis;
+        private final ColdSharing coldSharing;
         private long storeReadMillis = Long.MIN_VALUE;
         private long frozenUntilMillis;
         private long storeCutUntilMillis;
@@ -234,6 +235,7 @@
 
         private Entry(InstanceId id) {
             this.id = id;
+            this.coldSharing = new ColdSharing(id, coldBounds, nowNanos());
         }
 
         private void readStore() {
@@ -271,34 +273,30 @@
                     }
                 }
             }
-            boolean wasSuspended = nowMillis - lastHeartbeatMillis > SHARE_LIFETIME_MILLIS;
-            lastHeartbeatMillis = nowMillis;
             isOutdated |= heardMillis.values().removeIf(heard -> nowMillis - heard > PEER_TIMEOUT_MILLIS);
             boolean hasStoreContact = storeReadMillis >= 0 && nowMillis - storeReadMillis <= CONTACT_WINDOW_MILLIS;
             if (isOutdated || hasStoreContact != hadStoreContact) {
                 isOutdated = false;
                 hadStoreContact = hasStoreContact;
-                SharingEntries before = selection;
                 selection = known.isEmpty()
                         ? SharingEntries.NONE
                         : SharingEntries.select(id, known, heardMillis.keySet(), hasStoreContact);
-                wasSuspended |= !selection.equals(before);
                 share();
             }
-            shareCold(wasSuspended);
+            coldSharing.setEntries(entriesOfFault(), nowNanos());
+            gate.renewShare(coldSharing, nowNanos());
         }
 
-        private void shareCold(boolean isChanged) {
-            if (!coldStart.isLimited()) {
-                return;
+        /** Returns the entries among which the rate is divided, with the fault that the test plants. */
+        private SharingEntries entriesOfFault() {
+            boolean isKept = fault == Fault.SHARE_KEPT_WHEN_ENTRIES_JOIN
+                    && coldSharing.entries().hasContact();
+            if (isKept) {
+                return coldSharing.entries();
             }
-            boolean isAlone = fault == Fault.WHOLE_RATE_WITHOUT_CONTACT && !selection.hasContact();
-            SharingEntries divided = isAlone ? new SharingEntries(Set.of(id), true, true) : selection;
-            sharingSinceNanos = isChanged ? nowNanos() : sharingSinceNanos;
-            ColdShare next = ColdShare.of(coldStart, coldBounds, TARGET, id, divided);
-            boolean isKept = fault == Fault.SHARE_KEPT_WHEN_ENTRIES_JOIN && coldShare.allowsRequests();
-            coldShare = isKept ? coldShare : next;
-            gate.setShare(coldShare, sharingSinceNanos, nowNanos());
+            return fault == Fault.WHOLE_RATE_WITHOUT_CONTACT && !selection.hasContact()
+                    ? new SharingEntries(Set.of(id), true, true)
+                    : selection;
         }
 
         /** Sends a request whenever the gate lets one through. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ColdTargets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ColdTargets.java
@@ -8,7 +8,7 @@
 import io.endiveshed.coordination.crash.TargetCrash;
 import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.limit.ColdNotice;
-import io.endiveshed.coordination.limit.ColdShare;
+import io.endiveshed.coordination.limit.ColdSharing;
 import io.endiveshed.coordination.limit.ColdStartGate;
 import io.endiveshed.coordination.limit.SharingEntries;
 import io.endiveshed.coordination.service.ColdStart;
@@ -17,10 +17,8 @@
 import io.endiveshed.gateway.TargetResponseHead;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -29,24 +27,12 @@
  * Confined to one event loop.
  */
 final class ColdTargets implements ColdNotices {
-    /** Time without an evaluation after which this process counts as having been suspended: three heartbeats. */
-    private static final long MAX_EVALUATION_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-    private final InstanceId self;
     private final Targets targets;
     private final AtomicValue<ServiceCatalog> catalog;
-    private final ColdBounds bounds;
     private final LongSupplier nanoClock;
     private final GatewayMetrics metrics;
     private final EventLog log;
-
-    /** Rules with which the shares of the targets were computed; targets that are not cold now have a share too. */
-    private final Map<TargetRuntime, ColdStart> sharedRules = new HashMap<>();
-
-    private final Map<TargetRuntime, Boolean> loggedCold = new HashMap<>();
-    private SharingEntries sharing = SharingEntries.NONE;
-    private long sharingSinceNanos;
-    private long evaluatedNanos;
+    private final ColdSharing sharing;
 
     ColdTargets(
             InstanceId self,
@@ -56,60 +42,34 @@
             LongSupplier nanoClock,
             GatewayMetrics metrics,
             EventLog log) {
-        this.self = self;
         this.targets = targets;
         this.catalog = catalog;
-        this.bounds = bounds;
         this.nanoClock = nanoClock;
         this.metrics = metrics;
         this.log = log;
-        this.sharingSinceNanos = nanoClock.getAsLong();
-        this.evaluatedNanos = sharingSinceNanos;
-        targets.limitCold(this::coldStart, this::share);
+        this.sharing = new ColdSharing(self, bounds, nanoClock.getAsLong());
+        targets.limitCold(this::coldStart, added -> added.cold().renewShare(sharing, nanoClock.getAsLong()));
     }
 
     private ColdStart coldStart(ServiceName service) {
         return catalog.read().service(service).map(ServiceRule::coldStart).orElse(ColdStart.NONE);
     }
 
-    /** Sets the entries among which rates are divided; called at each heartbeat, as a share ends without that. */
-    void setSharing(SharingEntries newSharing) {
+    /** Sets the entries among which rates are divided; called at each heartbeat, as shares end without that. */
+    void setEntries(SharingEntries entries) {
         long nowNanos = nanoClock.getAsLong();
-        if (!newSharing.equals(sharing) || nowNanos - evaluatedNanos > MAX_EVALUATION_AGE_NANOS) {
-            sharing = newSharing;
-            sharingSinceNanos = nowNanos;
-            sharedRules.clear();
-        }
-        evaluatedNanos = nowNanos;
-        sharedRules.keySet().removeIf(target -> targets.find(target.instance().id()) != target);
-        loggedCold.keySet().removeIf(target -> targets.find(target.instance().id()) != target);
+        sharing.setEntries(entries, nowNanos);
         for (TargetRuntime target : targets.all()) {
-            share(target);
-            logChange(target, nowNanos);
-        }
-    }
-
-    /** Computes the share of a target's rate if its rule or the entries have changed, and confirms it. */
-    private void share(TargetRuntime target) {
-        ColdStart rule = coldStart(target.instance().service());
-        if (!rule.isLimited()) {
-            return;
+            target.cold().renewShare(sharing, nowNanos);
+            if (target.cold().hasChanged(nowNanos)) {
+                logChange(target, nowNanos);
+            }
         }
-        ColdStartGate gate = target.cold();
-        boolean isCurrent = rule.equals(sharedRules.put(target, rule));
-        ColdShare share = isCurrent
-                ? gate.share()
-                : ColdShare.of(rule, bounds, target.instance().id(), self, sharing);
-        gate.setShare(share, sharingSinceNanos, nanoClock.getAsLong());
     }
 
     private void logChange(TargetRuntime target, long nowNanos) {
         ColdStartGate gate = target.cold();
         boolean isCold = gate.isCold(nowNanos);
-        boolean wasCold = Boolean.TRUE.equals(loggedCold.put(target, isCold));
-        if (isCold == wasCold) {
-            return;
-        }
         if (isCold) {
             metrics.count("cold_targets");
         }
@@ -119,7 +79,7 @@
                 .with("source", gate.source(nowNanos).name().toLowerCase(Locale.ROOT))
                 .with("remaining_ms", gate.remainingMillis(nowNanos))
                 .with("interval_ms", TimeUnit.NANOSECONDS.toMillis(gate.share().intervalNanos()))
-                .with("entries", sharing.entries().size())
+                .with("entries", sharing.entries().entries().size())
                 .write();
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -253,7 +253,7 @@
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
                 .orElse(SharingEntries.NONE);
         limits.setEntries(sharing.entries());
-        cold.setSharing(sharing);
+        cold.setEntries(sharing);
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
         backlogs.removeOverdue();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -35,7 +35,12 @@
     private int openRequests;
 
     TargetRuntime(TargetInstance instance, HttpClient client) {
-        this(instance, client, new TargetLimit(), new ColdStartGate(() -> ColdStart.NONE), leaving -> {});
+        this(
+                instance,
+                client,
+                new TargetLimit(),
+                new ColdStartGate(instance.id(), () -> ColdStart.NONE),
+                leaving -> {});
     }
 
     /** Creates the state of a target; the consumer is called when the target says in an answer that it leaves. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -238,7 +238,7 @@
         if (known != null) {
             return known;
         }
-        ColdStartGate cold = new ColdStartGate(() -> coldStarts.apply(target.service()));
+        ColdStartGate cold = new ColdStartGate(target.id(), () -> coldStarts.apply(target.service()));
         if (isListed) {
             cold.observeStart(System.nanoTime());
         }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -7,8 +7,15 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.id.ServiceName;
 import io.endiveshed.base.log.EventLog;
+import io.endiveshed.coordination.cell.AtomicValue;
+import io.endiveshed.coordination.limit.ColdBounds;
+import io.endiveshed.coordination.limit.ColdNotice;
 import io.endiveshed.coordination.limit.LimitNotice;
+import io.endiveshed.coordination.service.ColdStart;
+import io.endiveshed.coordination.service.DomainDelays;
 import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.coordination.service.ServiceCatalog;
+import io.endiveshed.coordination.service.ServiceRule;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.TargetResponseHead;
 import io.endiveshed.net.http.HttpClientOptions;
@@ -21,6 +28,7 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -122,6 +130,38 @@
         }
     }
 
+    /** Guards against an entry that has not read of a start, and against a cold time that lasts from entry to entry. */
+    @Test
+    void coldTargetIsLearntFromOtherEntriesAndNotPassedOn() {
+        ServiceRule rule = new ServiceRule(
+                new ServiceName("app"),
+                "/",
+                1,
+                Optional.empty(),
+                DomainDelays.NONE,
+                new ColdStart(Duration.ofSeconds(60), 28));
+        ColdTargets cold = new ColdTargets(
+                SELF,
+                targets,
+                new AtomicValue<>(new ServiceCatalog(1, List.of(), List.of(rule), Map.of(), false)),
+                ColdBounds.DEFAULTS,
+                System::nanoTime,
+                new GatewayMetrics(new MetricRegistry()),
+                log);
+        InstanceId other = new InstanceId("entry-2");
+        list(5);
+        cold.coldElsewhere(other, new ColdNotice(TARGET, 4, 9_000));
+        assertThat(targets.find(TARGET).mayHelp(System.nanoTime())).isTrue();
+        cold.coldElsewhere(other, new ColdNotice(TARGET, 6, 9_000));
+        cold.unreachable(targets.find(TARGET));
+        assertThat(targets.find(TARGET).mayHelp(System.nanoTime())).isFalse();
+        assertThat(cold.toTell()).isEmpty();
+        list(6);
+        assertThat(cold.toTell()).hasSize(1);
+        assertThat(cold.tryAcquireRequest(targets.find(TARGET))).isFalse();
+        assertThat(targets.find(TARGET).tryAcquireCommand(System.nanoTime())).isFalse();
+    }
+
     private void list(long startedMillis) {
         TargetInstance instance = new TargetInstance(
                 TARGET,
