--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -287,7 +287,7 @@
                 .map(listed -> SharingEntries.select(self.instance(), listed, peers.heardEntries(), hasStoreContact))
                 .orElse(SharingEntries.NONE);
         limits.setEntries(sharingEntries.entries());
-        cold.setSharing(sharingEntries);
+        cold.setEntries(sharingEntries);
         sharing.ask(peers.heardIn(settings.domain()));
         crashes.store(peers.isFullyConnected(), peers.heardEntries().size());
         updateIsolation();
