Apply the home regions in force to resumed streams and public routes

A stream that was admitted before its route got home regions would have been resumed outside them, and the regions of an account did not count on routes that need no key, because both were taken from the admission. HomeTargets now reads route and account from the desired state in force at each placement.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/AdmittedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/AdmittedRequest.java
@@ -1,7 +1,6 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.coordination.service.ClientAccount;
-import io.endiveshed.coordination.service.HomeRegions;
 import io.endiveshed.coordination.service.RouteRule;
 import io.endiveshed.coordination.service.ServiceRule;
 import io.endiveshed.gateway.CallerRequest;
@@ -36,12 +35,6 @@
         return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
     }
 
-    /** Returns the regions that route and client account both allow. */
-    HomeRegions homeRegions() {
-        return account.map(holder -> route.homeRegions().and(holder.homeRegions()))
-                .orElse(route.homeRegions());
-    }
-
     /** Returns the priority of the client account, or that of the route if the account has none; 0 is most urgent. */
     int priority() {
         return account.map(holder -> holder.priority().orElse(route.priority())).orElse(route.priority());
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -146,7 +146,7 @@
             entriesFollower.refresh();
             crashesFollower.refresh();
         });
-        HomeTargets homeTargets = new HomeTargets(targets, settings.regions());
+        HomeTargets homeTargets = new HomeTargets(targets, catalog, settings.regions());
         this.forwarder = new RequestForwarder(
                 new GatewayContext(
                         loop,
