Probe a store that is away with one feed instead of five

While the store does not answer, each feed of an entry called it at intervals of 50 to 400 ms, and each call is paid for, refused ones too. All feeds lose the store together. Now the feed of the desired state probes for the others, which call again when it has reached the store, with the start of its last failed call as the end of the outage, and every 2 s otherwise. FeedFollowerTest.oneFeedProbesTheStoreForTheOthers guards the number of calls and the return of both feeds.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -12,6 +12,8 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +37,12 @@
     /** Maximum delay after a failed call; limits how late the recovery of the store is noticed. */
     private static final long MAX_RETRY_MILLIS = 400;
 
+    /**
+     * Delay after a failed call of a feed for which another one probes the store. It matters only if the store answers this
+     * feed and not the other one.
+     */
+    private static final long PROBED_RETRY_MILLIS = 2_000;
+
     /**
      * Delay after a watch that returned sooner than this without events; limits the call rate against a store that
      * returns every watch at once.
@@ -80,7 +88,8 @@
     private ClockReading lastFailureStart;
     private boolean isStoreLost;
     private int failuresInARow;
-    private Runnable whenReachable = () -> {};
+    private final List<FeedFollower<?>> dependents = new ArrayList<>();
+    private Optional<FeedFollower<?>> prober = Optional.empty();
     private boolean isStopped;
 
     FeedFollower(
@@ -157,9 +166,32 @@
         requestLater(Math.max(0, pace.minInterval().toMillis() - lastCallStart.millisUntil(now)));
     }
 
-    /** Sets an action that runs when the store answers again after one or more failed calls. */
-    void whenReachable(Runnable action) {
-        whenReachable = action;
+    /**
+     * Lets this feed find out for others when the store answers again. All feeds of an entry lose the store together, and
+     * each call is paid for, so the probes of every feed would cost several times as much and tell nothing more.
+     */
+    void probeFor(List<FeedFollower<?>> others) {
+        dependents.addAll(others);
+        others.forEach(other -> other.prober = Optional.of(this));
+    }
+
+    /**
+     * Calls the store again, which the prober has reached after failed calls.
+     *
+     * @param failureStart start of the prober's last failed call
+     * @param failures number of its calls that failed one after the other
+     */
+    private void proberRegained(ClockReading failureStart, int failures) {
+        if (!isStoreLost) {
+            refresh();
+            return;
+        }
+        if (lastFailureStart.millisUntil(failureStart) > 0) {
+            lastFailureStart = failureStart;
+        }
+        failuresInARow = Math.max(failuresInARow, failures);
+        retryMillis = FIRST_RETRY_MILLIS;
+        requestNext();
     }
 
     /**
@@ -261,7 +293,7 @@
                 share.outageEnded(lastFailureStart);
                 listener.storeRegained(lastFailureStart);
             }
-            whenReachable.run();
+            dependents.forEach(dependent -> dependent.proberRegained(lastFailureStart, failuresInARow));
         }
         failuresInARow = 0;
         boolean confirms = isConfirmation(start, batch, !isWatch);
@@ -339,7 +371,8 @@
                     .with("age_ms", ageMillis())
                     .write();
         }
-        requestLater(retryMillis);
+        boolean isProbedElsewhere = prober.map(FeedFollower::isStoreLost).orElse(false);
+        requestLater(isProbedElsewhere ? PROBED_RETRY_MILLIS : retryMillis);
         retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -164,11 +164,7 @@
         if (settings.bounds().evacuation().isPresent()) {
             sharing.add(evacuationsFollower, FeedPaces.sharedEvacuations(settings.bounds()));
         }
-        catalogFollower.whenReachable(() -> {
-            evacuationsFollower.refresh();
-            entriesFollower.refresh();
-            crashesFollower.refresh();
-        });
+        catalogFollower.probeFor(List.of(targetsFollower, evacuationsFollower, entriesFollower, crashesFollower));
         HomeTargets homeTargets = new HomeTargets(targets, catalog, settings.regions());
         this.forwarder = new RequestForwarder(
                 new GatewayContext(
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -68,6 +68,41 @@
                 .isEqualTo(feed.calls);
     }
 
+    /**
+     * Guards against calls to a store that is away which grow with the number of feeds, and against a feed that stays
+     * without the store after another one has reached it.
+     */
+    @Test
+    void oneFeedProbesTheStoreForTheOthers() {
+        FakeFeed probedFeed = feed;
+        FeedFollower<String> prober = startFollower(PACE);
+        feed = new FakeFeed();
+        FeedFollower<String> other = startFollower(PACE);
+        prober.probeFor(List.of(other));
+        probedFeed.becomeSilent();
+        feed.becomeSilent();
+        advanceWith(probedFeed, 4_000);
+
+        int callsBefore = probedFeed.calls + feed.calls;
+        advanceWith(probedFeed, 6_000);
+        int calls = probedFeed.calls + feed.calls - callsBefore;
+        probedFeed.isSilent = false;
+        feed.isSilent = false;
+        advanceWith(probedFeed, 1_500);
+
+        assertThat(prober.isStoreLost()).isFalse();
+        assertThat(other.isStoreLost()).isFalse();
+        // In 6 s, one call in 0.4 s of the prober at most, and one in 2 s of the other feed.
+        assertThat(calls).isAtMost(6_000 / 400 + 6_000 / 2_000);
+    }
+
+    private void advanceWith(FakeFeed otherFeed, long millis) {
+        for (long i = 0; i < millis; i++) {
+            advance(1);
+            otherFeed.expireWatch(nowMillis);
+        }
+    }
+
     /** Guards against a change of a quiet fleet that is known only after the minimum interval. */
     @Test
     void singleChangeIsKnownAtOnce() {
