Report an evacuated domain as unknown only if it never had targets

The targets of an evacuated domain may be switched off, and the domain was then logged as unknown. Domains in which a target has been seen since the start now count as known.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EvacuationMonitor.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EvacuationMonitor.java
@@ -24,6 +24,7 @@
     private final LongSupplier nanoClock;
     private final GatewayMetrics metrics;
     private final EventLog log;
+    private final Set<FailureDomain> seenDomains = new HashSet<>();
     private final Set<FailureDomain> loggedUnknown = new HashSet<>();
     private Set<FailureDomain> inForce = Set.of();
 
@@ -46,15 +47,20 @@
         return new EvacuationGate(domains, () -> target.instance().domain());
     }
 
-    /** Logs each evacuation of a domain that is not among the known ones; empty if none is known yet. */
-    void logUnknown(Set<FailureDomain> known) {
+    /**
+     * Logs each evacuation of a domain in which no target has been seen so far. The targets of an evacuated domain may be
+     * switched off, so those seen before count.
+     *
+     * @param withTargets domains of the targets that are listed now
+     */
+    void logUnknown(Set<FailureDomain> withTargets) {
+        seenDomains.addAll(withTargets);
         loggedUnknown.retainAll(inForce);
-        if (known.isEmpty()) {
+        if (seenDomains.isEmpty()) {
             return;
         }
-        loggedUnknown.removeAll(known);
         for (FailureDomain domain : inForce) {
-            if (!known.contains(domain) && loggedUnknown.add(domain)) {
+            if (!seenDomains.contains(domain) && loggedUnknown.add(domain)) {
                 metrics.count("evacuations_of_unknown_domains");
                 log.change("evacuation.unknown-domain").with("domain", domain).write();
             }
