--- a/coordination/src/main/java/io/endiveshed/coordination/availability/TargetStatus.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/availability/TargetStatus.java
@@ -15,7 +15,7 @@
         AVAILABLE("available"),
         RAMPING_UP("ramping up after a start or a recovery"),
         COLD("cold and at the rate that cold targets bear"),
-        RATE_LIMITED("at the rate that they take"),
+        RATE_LIMITED("at the rate that their limits allow"),
         PAUSED("pausing"),
         EVACUATIONS_UNREAD("waiting until the evacuations have been read"),
         EVACUATED("in an evacuated failure domain"),
