Tell callers kept back by a cold rate when the next request fits, and test two groups

A request that was placed several times and each time not written, since others had used the share meanwhile, was refused with the fixed delay of 200 ms. It now gets the wait of the last target if that is cold; other refusals are unchanged.

ColdStartTest now also runs the case in which the bound is nearest: 5 entries without the store divide the whole beside 23 or 38 new ones that do the same.

--- a/coordination/src/test/java/io/endiveshed/coordination/limit/ColdStartTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/limit/ColdStartTest.java
@@ -67,6 +67,24 @@
         }
     }
 
+    /** Guards against a part of the bound that is too large for two groups which know nothing of each other. */
+    @ParameterizedTest
+    @CsvSource({"28", "43"})
+    void twoGroupsThatBothDivideTheWholeKeepToTheRate(int entries) {
+        LimitSimulation simulation = new LimitSimulation(7, 1, FIRST_ENTRIES, BOUNDS);
+        simulation.run(3_000);
+        simulation.startCold(RULE, Fault.NONE);
+        simulation.run(2_000);
+        for (InstanceId id : simulation.ids()) {
+            simulation.cutFromStore(id, 60_000);
+            simulation.setGroup(id, 1);
+        }
+        simulation.addEntries(entries - FIRST_ENTRIES);
+        simulation.run(20_000);
+        assertThat(simulation.mostWhileCold()).isAtMost(MOST);
+        assertThat(simulation.mostWhileCold()).isGreaterThan(MOST * 3 / 4);
+    }
+
     /** Guards against a divided rate of which the entries that have load may use only a small part. */
     @ParameterizedTest
     @CsvSource({"5", "28", "43"})
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
 import io.endiveshed.base.error.Outcome;
+import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.service.RouteKind;
 import io.endiveshed.gateway.ForwardingOptions;
 import io.endiveshed.gateway.TargetResponseHead;
@@ -305,7 +306,7 @@
             } else {
                 fail(Failure.of(ErrorKind.NO_TARGET)
                         .message(message)
-                        .retryAfter(DEFAULT_RETRY_DELAY)
+                        .retryAfter(unsentRetryDelay(target))
                         .build());
             }
             return;
@@ -318,6 +319,14 @@
         retryOrElse(() -> fail(failureWithUnknownOutcome(message)), false);
     }
 
+    /** Returns when a request that was not written may be sent to its target, if it was kept back because of its rate. */
+    private static Duration unsentRetryDelay(TargetRuntime target) {
+        TargetStatus status = target.status(System.nanoTime());
+        return status.reason() == TargetStatus.Reason.COLD
+                ? Duration.ofMillis(status.waitMillis())
+                : DEFAULT_RETRY_DELAY;
+    }
+
     /** Ends an attempt whose target does not respond, so that the memory reserved for it on other engines is freed. */
     private void targetUnresponsive(Assignment unresponsive) {
         if (unresponsive == assignment && response != null) {
