Tell changes of the store to the entries that rely on a reader

An answer now carries the latest changes of the feed that was just read, with the digest before and after each one and the content in the form of the store. A receiver applies those that follow its own digest. New changes above 8 KB compressed are not sent, and neither are those read within 10 s after an outage; the digest then makes the receivers call the store. Versions still come from own calls only, and an own watch does not replace what was told by older content. Questions count only from listed entries of the domain that are heard. The least time for which an entry relies on others is 1.5 s, because shorter watches of the readers would cost more calls than they spare at a bound of 2 s.

--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/ObjectDigest.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/ObjectDigest.java
@@ -43,6 +43,12 @@
         }
     }
 
+    /** Returns the version of an object; empty if it is not present. */
+    public OptionalLong version(String name) {
+        Long version = versionsByName.get(name);
+        return version == null ? OptionalLong.empty() : OptionalLong.of(version);
+    }
+
     /** Returns the digest; empty if the version of an object is not known, as its content may then change unnoticed. */
     public OptionalLong value() {
         return unversionedCount == 0 ? OptionalLong.of(sum) : OptionalLong.empty();
--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
@@ -2,6 +2,10 @@
 
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.Freshness;
+import io.endiveshed.ports.platform.FeedEvent;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -23,9 +27,14 @@
  * }</pre>
  */
 public final class SharedFeed {
+    /** Maximum number of changes that are kept to be told; those of about two watches of a busy fleet. */
+    private static final int MAX_CHANGES = 64;
+
     private final String name;
     private final Limits limits;
     private final ObjectDigest objects = new ObjectDigest();
+    private final Deque<FeedChanges.Change> changes = new ArrayDeque<>();
+    private long digestBeforeChanges;
     private long era = -1;
     private long version = -1;
     private Freshness own = Freshness.NEVER;
@@ -55,6 +64,54 @@
         return objects;
     }
 
+    /** Forgets all objects, which are about to be listed. */
+    public void clear() {
+        objects.clear();
+        changes.clear();
+    }
+
+    /** Records the change of an object. */
+    public void changed(FeedEvent<?> event) {
+        OptionalLong before = objects.value();
+        boolean isDeleted = event.value().isEmpty() && !event.isUnreadable();
+        if (isDeleted) {
+            objects.remove(event.name());
+        } else {
+            objects.put(event.name(), event.version());
+        }
+        OptionalLong after = objects.value();
+        if (before.isEmpty() || after.isEmpty() || event.source().isPresent() == isDeleted) {
+            changes.clear();
+            return;
+        }
+        if (changes.isEmpty()) {
+            digestBeforeChanges = before.getAsLong();
+        }
+        changes.addLast(new FeedChanges.Change(event.name(), event.version(), after.getAsLong(), event.source()));
+        if (changes.size() > MAX_CHANGES) {
+            digestBeforeChanges = changes.removeFirst().digestAfter();
+        }
+    }
+
+    /** Returns the latest changes, of which others may know the first; none if there are none that can be told. */
+    public Optional<FeedChanges> changes() {
+        return changes.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new FeedChanges(name, era, version, digestBeforeChanges, List.copyOf(changes)));
+    }
+
+    /** Returns the changes that this entry lacks and that apply to its objects. */
+    public List<FeedChanges.Change> missing(FeedChanges told) {
+        return told.era() == era && objects.value().isPresent()
+                ? told.after(objects.value().getAsLong())
+                : List.of();
+    }
+
+    /** Returns the number of the era of the store to which the objects belong; negative if none are known. */
+    public long era() {
+        return era;
+    }
+
     /** Records the era and version of the store up to which the objects are known. */
     public void known(long knownEra, long knownVersion) {
         version = knownEra == era ? Math.max(version, knownVersion) : knownVersion;
--- a/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
@@ -7,6 +7,8 @@
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.Freshness;
 import io.endiveshed.coordination.sharing.SharedFeed.Verdict;
+import io.endiveshed.ports.platform.FeedEvent;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -79,6 +81,42 @@
         assertThat(feed.millisUntilCall(at(9_900))).isEqualTo(100);
     }
 
+    /** Guards against changes that are applied to other objects than those they were made to. */
+    @Test
+    void onlyChangesThatFollowTheOwnObjectsApply() {
+        SharedFeed reader = feedWith("a", 7);
+        SharedFeed follower = feedWith("a", 7);
+        SharedFeed ahead = feedWith("a", 7);
+        SharedFeed other = feedWith("b", 6);
+        reader.changed(put("b", 8));
+        ahead.changed(put("b", 8));
+        reader.changed(new FeedEvent<>("a", 9, Optional.empty()));
+        reader.known(1, 9);
+        FeedChanges told = reader.changes().orElseThrow();
+
+        assertThat(follower.missing(told)).isEqualTo(told.changes());
+        assertThat(ahead.missing(told)).containsExactly(told.changes().get(1));
+        assertThat(other.missing(told)).isEmpty();
+        assertThat(reader.missing(told)).isEmpty();
+        assertThat(follower.missing(told.withoutFirst(1))).isEmpty();
+        follower.known(2, 7);
+        assertThat(follower.missing(told)).isEmpty();
+        ahead.changed(new FeedEvent<>("a", 9, Optional.empty()));
+        assertThat(ahead.objects().value()).isEqualTo(reader.objects().value());
+    }
+
+    /** Guards against changes with a gap, where one was read whose content is not kept. */
+    @Test
+    void changeWithoutContentEndsWhatIsTold() {
+        feed.changed(put("b", 8));
+        feed.changed(new FeedEvent<>("c", 9, Optional.of("c")));
+        assertThat(feed.changes()).isEqualTo(Optional.empty());
+    }
+
+    private static FeedEvent<String> put(String name, long version) {
+        return new FeedEvent<>(name, version, Optional.of(name)).withSource(name);
+    }
+
     /** Guards against answers that the entry did not ask for, which anyone may send. */
     @Test
     void onlyAnswersWithTheNumberOfARecentQuestionCount() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.Freshness;
+import io.endiveshed.coordination.sharing.FeedChanges;
 import io.endiveshed.coordination.sharing.FeedReport;
 import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.ports.platform.FeedBatch;
@@ -13,7 +14,6 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -47,12 +47,6 @@
      */
     private static final Duration PROBE_WAIT = Duration.ofMillis(50);
 
-    /**
-     * Time after the return of the store from an older copy within which the operator writes its objects again. It took
-     * 0.1 s on played days; the platform names no bound.
-     */
-    private static final Duration REWRITE_TIME = Duration.ofSeconds(1);
-
     /**
      * Number of calls that fail one after the other in an outage. A single one may have lost a packet, and the entries of
      * running targets do not expire within one call.
@@ -74,7 +68,7 @@
     private boolean isReadDue;
     private long version = -1;
     private long lastCall;
-    private OptionalLong copyUntilNanos = OptionalLong.empty();
+    private final RestoredCopy copy = new RestoredCopy();
     private long retryMillis = FIRST_RETRY_MILLIS;
     private Freshness freshness = Freshness.NEVER;
     private ClockReading lastFailureStart;
@@ -149,12 +143,29 @@
         return verdict;
     }
 
+    /** Puts changes in force that another entry has read; returns whether they apply. */
+    boolean receive(FeedChanges changes) {
+        if (isCalling || version < 0 || isStoreLost || !canRely()) {
+            return false;
+        }
+        FeedBatch<T> batch = share.missing(changes, feed);
+        if (!batch.events().isEmpty()) {
+            listener.changed(batch);
+            share.told(batch);
+        }
+        if (!canRely()) {
+            readSoon(clock.get());
+        }
+        return !batch.events().isEmpty();
+    }
+
     private void readSoon(ClockReading now) {
         if (isCalling || isReadDue) {
             return;
         }
         isReadDue = true;
-        requestLater(Math.max(0, pace.minInterval().toMillis() - lastCallStart.millisUntil(now)));
+        long intervalMillis = Math.max(pace.minInterval().toMillis(), share.readIntervalMillis());
+        requestLater(Math.max(0, intervalMillis - lastCallStart.millisUntil(now)));
     }
 
     /** Sets an action that runs when the store answers again after one or more failed calls. */
@@ -202,14 +213,9 @@
         if (isStoreLost) {
             return PROBE_WAIT;
         }
-        if (copyUntilNanos.isEmpty()) {
-            return share.watchTimeout(pace.watchTimeout(), PROBE_WAIT);
-        }
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(copyUntilNanos.getAsLong() - start.monotonicNanos());
-        return remainingMillis < PROBE_WAIT.toMillis()
-                ? PROBE_WAIT
-                : Duration.ofMillis(
-                        Math.min(remainingMillis, pace.watchTimeout().toMillis()));
+        return copy.isPresent()
+                ? copy.limit(pace.watchTimeout(), PROBE_WAIT, start)
+                : share.watchTimeout(pace.watchTimeout(), PROBE_WAIT);
     }
 
     /** Forgets the known version and lists the objects; the result of the current call is ignored. */
@@ -222,7 +228,7 @@
                 .with("age_ms", ageMillis())
                 .write();
         listener.storeRestored();
-        copyUntilNanos = OptionalLong.of(clock.get().monotonicNanos() + REWRITE_TIME.toNanos());
+        copy.begin(clock.get());
         version = -1;
         requestNext();
     }
@@ -237,7 +243,7 @@
             handleError(start, result.getLeft());
             return;
         }
-        FeedBatch<T> batch = result.get();
+        FeedBatch<T> batch = version < 0 ? result.get() : share.withoutTold(result.get());
         if (eras.isOutdated(batch.era())) {
             handleError(start, StoreError.UNAVAILABLE);
             return;
@@ -267,7 +273,7 @@
         boolean confirms = isConfirmation(start, batch, !isWatch);
         apply.accept(batch);
         if (confirms) {
-            copyUntilNanos = OptionalLong.empty();
+            copy.end();
             if (listener.hasAppliedAll()) {
                 freshness = freshness.newer(start, clock.get());
             }
@@ -279,13 +285,11 @@
 
     /** Returns whether all that was read is in force and is not from an older copy of the store. */
     private boolean canRely() {
-        return copyUntilNanos.isEmpty() && listener.hasAppliedAll();
+        return !copy.isPresent() && listener.hasAppliedAll();
     }
 
     private boolean isConfirmation(ClockReading start, FeedBatch<T> batch, boolean isList) {
-        return copyUntilNanos.isEmpty()
-                || start.monotonicNanos() - copyUntilNanos.getAsLong() >= 0
-                || listener.showsNewWrite(batch, isList);
+        return !copy.mayBeRead(start) || listener.showsNewWrite(batch, isList);
     }
 
     /**
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedPaces.java
@@ -49,7 +49,8 @@
     /** Part of a bound after which an entry no longer relies on the others; the rest is for the call and its repetition. */
     private static final double RELIANCE_PART = 0.6;
 
-    private static final Duration MIN_RELIANCE = Duration.ofMillis(1_200);
+    /** Minimum of the same time; with a shorter one, readers would call more often than all entries do alone. */
+    private static final Duration MIN_RELIANCE = Duration.ofMillis(1_500);
 
     /** Maximum of the same time, which keeps the desired state as young as the own watches of 1 s do. */
     private static final Duration MAX_RELIANCE = Duration.ofMillis(1_800);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
@@ -2,12 +2,18 @@
 
 import io.endiveshed.coordination.freshness.ClockReading;
 import io.endiveshed.coordination.freshness.Freshness;
+import io.endiveshed.coordination.sharing.FeedChanges;
 import io.endiveshed.coordination.sharing.FeedReport;
 import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.ports.platform.FeedBatch;
 import io.endiveshed.ports.platform.FeedEvent;
+import io.endiveshed.ports.platform.ObjectFeed;
+import io.endiveshed.ports.platform.StoreEra;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Part that one follower takes in the sharing of feeds; without sharing it leaves the follower to its own pace. */
 final class FeedShare {
@@ -21,6 +27,7 @@
     private final SharedFeed feed;
     private Freshness lastOutage = Freshness.NEVER;
     private boolean hasRelied;
+    private boolean wasTold;
 
     private FeedShare(Optional<FeedSharing> sharing, SharedFeed feed) {
         this.sharing = sharing;
@@ -64,20 +71,71 @@
             return;
         }
         if (isList) {
-            feed.objects().clear();
+            feed.clear();
         }
-        for (FeedEvent<?> event : batch.events()) {
-            if (event.value().isPresent() || event.isUnreadable()) {
-                feed.objects().put(event.name(), event.version());
-            } else {
-                feed.objects().remove(event.name());
-            }
-        }
-        feed.known(batch.era().number(), batch.upTo());
+        record(batch);
         confirmed.ifPresent(feed::confirmed);
         if (confirmed.isPresent() || !batch.events().isEmpty()) {
-            sharing.get().answer();
+            // What was read right after an outage may lack objects that are written again soon; others read it
+            // themselves, after they have been told of the outage.
+            boolean canTell =
+                    confirmed.isPresent() && !isList && lastOutage.ageMillis(confirmed.get()) > MAX_TOLD_OUTAGE_MILLIS;
+            sharing.get()
+                    .answer(
+                            canTell && !batch.events().isEmpty() ? feed.changes() : Optional.empty(),
+                            batch.events().size());
+        }
+    }
+
+    private void record(FeedBatch<?> batch) {
+        batch.events().forEach(feed::changed);
+        feed.known(batch.era().number(), batch.upTo());
+    }
+
+    /** Returns the changes that this entry lacks, decoded; none if they do not apply or one cannot be decoded. */
+    <T> FeedBatch<T> missing(FeedChanges told, ObjectFeed<T> decoder) {
+        List<FeedEvent<T>> events = new ArrayList<>();
+        boolean areAllDecoded = true;
+        for (FeedChanges.Change change : feed.missing(told)) {
+            Optional<FeedEvent<T>> event = change.source().isPresent()
+                    ? decoder.decode(
+                            change.name(), change.version(), change.source().get())
+                    : Optional.of(new FeedEvent<>(change.name(), change.version(), Optional.empty()));
+            event.ifPresent(events::add);
+            areAllDecoded &= event.isPresent();
         }
+        return new FeedBatch<>(areAllDecoded ? events : List.of(), told.version(), new StoreEra(told.era()));
+    }
+
+    /** Records changes that another entry has told and that are in force now. */
+    void told(FeedBatch<?> batch) {
+        record(batch);
+        wasTold = true;
+    }
+
+    /**
+     * Returns the changes of a watch without those that another entry has told since the last call. The watch starts
+     * before them, and would replace newer content by older content for a moment.
+     */
+    <T> FeedBatch<T> withoutTold(FeedBatch<T> batch) {
+        boolean areAllVersioned = batch.events().stream().allMatch(event -> event.version() > 0);
+        if (!wasTold || batch.era().number() != feed.era() || !areAllVersioned) {
+            return batch;
+        }
+        wasTold = false;
+        return new FeedBatch<>(
+                batch.events().stream().filter(event -> !isTold(event)).toList(), batch.upTo(), batch.era());
+    }
+
+    private boolean isTold(FeedEvent<?> event) {
+        OptionalLong known = feed.objects().version(event.name());
+        boolean isDeleted = event.value().isEmpty() && !event.isUnreadable();
+        return known.isPresent() && known.getAsLong() >= event.version() + (isDeleted ? 1 : 0);
+    }
+
+    /** Returns the minimum time in milliseconds between two calls that others cause. */
+    long readIntervalMillis() {
+        return feed.limits().maxAgeMillis() / 2;
     }
 
     /** Returns what this entry tells others of the feed. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedSharing.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedSharing.java
@@ -4,9 +4,11 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.base.log.EventLog;
 import io.endiveshed.coordination.freshness.ClockReading;
+import io.endiveshed.coordination.sharing.FeedChanges;
 import io.endiveshed.coordination.sharing.FeedReport;
 import io.endiveshed.coordination.sharing.SharedFeed;
 import io.endiveshed.coordination.sharing.SharingPeers;
+import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -28,6 +30,7 @@
     private final Consumer<String> counter;
     private final EventLog log;
     private boolean wasReader;
+    private Set<InstanceId> reachable = Set.of();
     private final Map<String, FeedFollower<?>> followersByName = new LinkedHashMap<>();
 
     FeedSharing(
@@ -54,7 +57,8 @@
     }
 
     /** Sends the questions that are due; called in regular intervals with the other entries that can be heard. */
-    void ask(Set<InstanceId> reachable) {
+    void ask(Set<InstanceId> entries) {
+        reachable = entries;
         boolean canReadStore = followersByName.values().stream().noneMatch(FeedFollower::isStoreLost);
         for (SharingPeers.Question question : peers.questions(reachable, canReadStore, clock.get())) {
             transport.send(question.entry(), new SharingMessage.Question(question.number()));
@@ -74,7 +78,8 @@
     /** Handles a datagram of another entry. */
     void receive(InstanceId sender, SharingMessage message) {
         if (message instanceof SharingMessage.Question question) {
-            if (peers.askedBy(sender, question.number(), clock.get())) {
+            // Questions in the names of others would take memory and make this entry call more often.
+            if (reachable.contains(sender) && peers.askedBy(sender, question.number(), clock.get())) {
                 // Their watches may wait longer than the others rely on this entry.
                 followersByName.values().forEach(FeedFollower::refresh);
             }
@@ -88,6 +93,12 @@
         if (asked.isEmpty()) {
             return;
         }
+        SharingCodec.unpackChanges(answer.changes()).ifPresent(changes -> {
+            FeedFollower<?> follower = followersByName.get(changes.feed());
+            if (follower != null && follower.receive(changes)) {
+                counter.accept("shared.applied");
+            }
+        });
         for (FeedReport report : answer.feeds()) {
             FeedFollower<?> follower = followersByName.get(report.feed());
             if (follower != null) {
@@ -102,8 +113,13 @@
         return peers.isReader(clock.get());
     }
 
-    /** Tells the entries that ask what this one knows, after a feed has changed or was confirmed by the store. */
-    void answer() {
+    /**
+     * Tells the entries that ask what this one knows, after a feed has changed or was confirmed by the store.
+     *
+     * @param changes latest changes of that feed
+     * @param newCount number of the last ones that were just read
+     */
+    void answer(Optional<FeedChanges> changes, int newCount) {
         ClockReading now = clock.get();
         if (!peers.isReader(now)) {
             return;
@@ -111,8 +127,10 @@
         List<FeedReport> reports = followersByName.values().stream()
                 .flatMap(follower -> follower.report(now).stream())
                 .toList();
+        ByteBuffer packed =
+                changes.map(told -> SharingCodec.packChanges(told, newCount)).orElse(SharingCodec.NO_CHANGES);
         for (SharingPeers.Question question : peers.askers(now)) {
-            transport.send(question.entry(), new SharingMessage.Answer(question.number(), reports));
+            transport.send(question.entry(), new SharingMessage.Answer(question.number(), reports, packed));
         }
     }
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -18,7 +18,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -46,6 +48,9 @@
     /** Time without a datagram after which a peer counts as gone or unreachable, and its prompts no longer count. */
     private static final long PEER_TIMEOUT_NANOS = 2_000_000_000L;
 
+    /** Maximum size of a datagram: changes of a feed and 4 KB for the rest. */
+    private static final int MAX_DATAGRAM_BYTES = SharingCodec.MAX_CHANGES_BYTES + 4 * 1024;
+
     private final PeerIncarnation self;
     private final InetSocketAddress address;
     private final EventLoopGroup loops;
@@ -87,6 +92,7 @@
         channel = new Bootstrap()
                 .group(loops)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/SharingMessage.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/SharingMessage.java
@@ -1,6 +1,7 @@
 package io.endiveshed.gateway.internal;
 
 import io.endiveshed.coordination.sharing.FeedReport;
+import java.nio.ByteBuffer;
 import java.util.List;
 
 /** Datagrams by which entries of a failure domain share what they read from the store. */
@@ -17,6 +18,8 @@
      *
      * @param number number of the last question of the receiver
      * @param feeds what the sender knows of each feed
+     * @param changes packed changes of one feed that precede the reports, see {@link SharingCodec#packChanges}; empty if
+     *     there are none
      */
-    record Answer(long number, List<FeedReport> feeds) implements SharingMessage {}
+    record Answer(long number, List<FeedReport> feeds, ByteBuffer changes) implements SharingMessage {}
 }
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
@@ -128,6 +128,24 @@
         assertThat(simulation.calls / 20.0 / entries).isAtMost(1.0);
     }
 
+    /** Guards against a call of each entry for each change of a target or of the desired state. */
+    @ParameterizedTest
+    @ValueSource(ints = {28, 43, 100})
+    void changesAreToldWithoutCalls(int entries) {
+        SharingSimulation simulation = started(entries, 1);
+        simulation.run(5_000);
+        simulation.resetCounts();
+        for (int i = 0; i < 200; i++) {
+            simulation.stores.get(SharingSimulation.CATALOG).put("main");
+            if (i % 10 == 0) {
+                simulation.stores.get(SharingSimulation.TARGETS).put("target-" + i % 7);
+            }
+            simulation.run(100);
+        }
+        assertThat(simulation.calls / 20.0 / entries).isAtMost(1.2);
+        assertThat(simulation.maxDelayMillis()).isAtMost(1_000);
+    }
+
     /** Guards against a small deployment whose only reader calls more often than its entries do alone. */
     @Test
     void smallDomainsAreFollowedAsBefore() {
--- a/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
 /**
@@ -22,6 +23,16 @@
     /** Returns all objects of the kind. */
     CompletionStage<Either<StoreError, FeedBatch<T>>> list();
 
+    /**
+     * Decodes an object that another process has read.
+     *
+     * @param source specification in the form of the store, see {@link FeedEvent#source}
+     * @return the object; empty if this feed cannot tell what the store would return
+     */
+    default Optional<FeedEvent<T>> decode(String name, long version, String source) {
+        return Optional.empty();
+    }
+
     /** Returns the changes after a version; waits until there is one or the timeout expires. */
     CompletionStage<Either<StoreError, FeedBatch<T>>> watch(long afterVersion, Duration wait);
 }
