Add settings for the limits of callers' requests

The limits of the callers' server were constants, so that a test could not lower them. The section `clients` of the gateway's settings sets header section, body, their timeouts and the sum of the bodies; without it the limits are the ones in force before. GatewaySettingsFileTest reads them and rejects a sum below a single body.

--- a/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import io.endiveshed.gateway.internal.GatewayComponents;
 import io.endiveshed.gateway.internal.StatusServer;
 import io.endiveshed.net.http.HttpServer;
-import io.endiveshed.net.http.HttpServerLimits;
 import io.netty.channel.EventLoopGroup;
 import java.util.function.Function;
 
@@ -44,8 +43,8 @@
         this.settings = settings;
         this.log = log;
         this.components = new GatewayComponents(settings, dialect, portsFactory, registry, log);
-        this.callerServer =
-                new HttpServer(components.loops(), settings.callers(), limits(), components.forwarder(), registry);
+        this.callerServer = new HttpServer(
+                components.loops(), settings.callers(), settings.clients(), components.forwarder(), registry);
         this.statusServer = new StatusServer(components.loops(), settings, components::isReady, registry);
     }
 
@@ -90,19 +89,4 @@
         components.stop();
         log.stop();
     }
-
-    /**
-     * Returns limits for callers. Bodies of long prompts have hundreds of kilobytes, and the total must fit into the
-     * heap of a small instance.
-     */
-    private static HttpServerLimits limits() {
-        HttpServerLimits defaults = HttpServerLimits.defaults();
-        return new HttpServerLimits(
-                64 * 1024,
-                8 * 1024 * 1024,
-                defaults.headerTimeout(),
-                defaults.bodyTimeout(),
-                HttpServerLimits.DEFAULT_MIN_BODY_BYTES_PER_SECOND,
-                64L * 1024 * 1024);
-    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
+import io.endiveshed.net.http.HttpServerLimits;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -17,6 +18,7 @@
  * @param platform address of the platform's store
  * @param bounds time limits and retry budget set by the operator
  * @param responses limits of the responses of targets
+ * @param clients limits of the requests of callers
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -27,7 +29,8 @@
         InetSocketAddress peers,
         InetSocketAddress platform,
         Bounds bounds,
-        ResponseLimits responses) {
+        ResponseLimits responses,
+        HttpServerLimits clients) {
     /**
      * Time limits and retry budget.
      *
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.id.FailureDomain;
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.settings.Section;
 import io.endiveshed.settings.SettingsError;
 import io.endiveshed.settings.YamlFile;
@@ -62,6 +63,8 @@
         GatewaySettings.ResponseLimits responses = root.section("responses")
                 .map(GatewaySettingsFile::readResponses)
                 .orElseGet(GatewaySettings.ResponseLimits::defaults);
+        HttpServerLimits clients =
+                root.section("clients").map(ClientLimits::read).orElseGet(ClientLimits::defaults);
         root.reportUnknownKeys();
         if (!errors.isEmpty()) {
             return Optional.empty();
@@ -75,7 +78,8 @@
                 peers.orElseThrow(),
                 platform.orElseThrow(),
                 bounds.orElseThrow(),
-                responses));
+                responses,
+                clients));
     }
 
     private static GatewaySettings.ResponseLimits readResponses(Section section) {
--- a/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/GatewaySettingsFileTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.settings.SettingsError;
 import java.time.Duration;
 import java.util.List;
@@ -77,6 +78,34 @@
         errors.forEach(error -> assertThat(error.remedy()).isNotEmpty());
     }
 
+    /** Guards against limits of requests that are ignored, and against a total that a single body exceeds. */
+    @Test
+    void readsLimitsOfClients() {
+        String limits = """
+                clients:
+                  max-header: 8KiB
+                  max-body: 1MiB
+                  header-timeout: 3s
+                  body-timeout: 20s
+                  memory: 16MiB
+                """;
+        HttpServerLimits clients =
+                GatewaySettingsFile.parse("test", COMPLETE_FILE + limits).get().clients();
+        assertThat(clients.maxHeaderBytes()).isEqualTo(8 * 1024);
+        assertThat(clients.maxBodyBytes()).isEqualTo(1024 * 1024);
+        assertThat(clients.headerTimeout()).isEqualTo(Duration.ofSeconds(3));
+        assertThat(clients.bodyTimeout()).isEqualTo(Duration.ofSeconds(20));
+        assertThat(clients.maxBufferedBodyBytes()).isEqualTo(16 * 1024 * 1024);
+        assertThat(GatewaySettingsFile.parse("test", COMPLETE_FILE).get().clients())
+                .isEqualTo(ClientLimits.defaults());
+
+        List<SettingsError> errors = GatewaySettingsFile.parse(
+                        "test", COMPLETE_FILE + limits.replace("16MiB", "512KiB"))
+                .getLeft();
+        assertThat(errors.toString()).contains("memory");
+        errors.forEach(error -> assertThat(error.remedy()).isNotEmpty());
+    }
+
     /** Guards against an entry that does not start because the platform computed a bound that is no whole number. */
     @Test
     void readsBoundsWithFractions() {
