Bound what clients make a process hold, and drop the one that makes the least progress

Cause: each connection allocated 64 KB for an announced body, only bytes that had arrived counted, whoever came last was refused while stalled bodies held the buffer, header sections, pipelined requests and unread responses had no bound, and the connections could take all descriptors. The readiness and metrics servers had limits above the heap.

Change: one budget (ClientMemory) for connections, header sections by their decoded cost, allocated bodies, pipelined parts and unread responses. Each kind and the sum have a bound that follows from heap, direct memory and descriptors. At a bound the address that holds the most for the longest time without progress loses connections first; a request that runs is never dropped. Reading is paused in place of closing a connection that sends ahead, at most eight of its requests start in a turn of 10 ms, a body of which nothing arrives ends at its timeout, and readiness and metrics have a budget of their own with 128 connections. Netty's codec failed at 128 pipelined requests with one log line each; lines about clients are now written at most once a second.

--- a/gateway/src/main/java/io/endiveshed/gateway/ClientLimits.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/ClientLimits.java
@@ -1,11 +1,13 @@
 package io.endiveshed.gateway;
 
+import io.endiveshed.net.http.ClientMemoryLimits;
 import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.settings.Section;
 import java.time.Duration;
 
 /** Reads the section {@code clients} of the settings, which limits the requests of callers. */
 final class ClientLimits {
+    private static final int DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
     private static final int MIN_HEADER_BYTES = 1024;
     private static final int MAX_HEADER_BYTES = 1024 * 1024;
     private static final int MIN_BODY_BYTES = 1024;
@@ -16,19 +18,16 @@
 
     private ClientLimits() {}
 
-    /**
-     * Returns the limits that hold if the settings have none. Bodies of long prompts have hundreds of kilobytes, and
-     * the total must fit into the heap of a small instance.
-     */
+    /** Returns the limits that hold if the settings have none. Bodies of long prompts have hundreds of kilobytes. */
     static HttpServerLimits defaults() {
         HttpServerLimits defaults = HttpServerLimits.defaults();
         return new HttpServerLimits(
                 64 * 1024,
-                8 * 1024 * 1024,
+                DEFAULT_MAX_BODY_BYTES,
                 defaults.headerTimeout(),
                 defaults.bodyTimeout(),
                 HttpServerLimits.DEFAULT_MIN_BODY_BYTES_PER_SECOND,
-                64L * 1024 * 1024);
+                ClientMemoryLimits.bodyBytesOfProcess(DEFAULT_MAX_BODY_BYTES));
     }
 
     static HttpServerLimits read(Section section) {
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -79,7 +79,8 @@
                     protected void initChannel(Channel channel) {
                         ClientConnection connection = new ClientConnection(options);
                         channel.pipeline()
-                                .addLast(new BytesArrivedHandler(connection::onBytesArrived))
+                                .addLast(new BytesArrivedHandler(
+                                        bytes -> connection.onBytesArrived(bytes.readableBytes())))
                                 .addLast(new InputEndHandler(connection::onInputEnded))
                                 .addLast(new HttpClientCodec())
                                 .addLast(connection);
--- a/net/src/main/java/io/endiveshed/net/http/HttpServer.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpServer.java
@@ -6,6 +6,7 @@
 import io.endiveshed.net.http.internal.ServerConnections;
 import io.endiveshed.net.http.internal.ServerContext;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -26,6 +27,15 @@
  * }</pre>
  */
 public final class HttpServer {
+    /** Maximum number of reads of one connection before the event loop serves the others. */
+    private static final int MAX_READS_IN_A_ROW = 4;
+
+    /**
+     * Maximum number of decoded requests without a response, above which the codec fails. Reading is paused long before;
+     * the shortest requests of one read, and those that waited before it, must fit.
+     */
+    private static final int MAX_CODEC_PIPELINE_DEPTH = 4 * 1024;
+
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final HttpServerLimits limits;
@@ -45,10 +55,31 @@
             HttpServerLimits limits,
             HttpHandler handler,
             MetricRegistry registry) {
+        this(
+                loops,
+                address,
+                limits,
+                handler,
+                new ClientMemory(
+                        ClientMemoryLimits.ofBodies(Math.min(
+                                limits.maxBufferedBodyBytes(),
+                                ClientMemoryLimits.bodyBytesOfProcess(limits.maxBodyBytes()))),
+                        System::nanoTime),
+                registry);
+    }
+
+    /** Creates a server whose clients share a budget of memory with those of other servers. */
+    public HttpServer(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            HttpServerLimits limits,
+            HttpHandler handler,
+            ClientMemory memory,
+            MetricRegistry registry) {
         this.loops = loops;
         this.address = address;
         this.limits = limits;
-        this.context = new ServerContext(limits, handler, registry);
+        this.context = new ServerContext(limits, handler, memory, registry);
         this.connections = context.connections();
     }
 
@@ -58,16 +89,22 @@
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(64, 2 * 1024, ClientMemoryLimits.READ_BYTES)
+                                .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel connection) {
                         ServerConnection connectionHandler = new ServerConnection(context);
                         connection
                                 .pipeline()
-                                .addLast(new BytesArrivedHandler(length -> connectionHandler.onBytesArrived()))
-                                .addLast(new HttpServerCodec(new HttpDecoderConfig()
-                                        .setMaxInitialLineLength(limits.maxHeaderBytes())
-                                        .setMaxHeaderSize(limits.maxHeaderBytes())))
+                                .addLast(new BytesArrivedHandler(connectionHandler::onBytesArrived))
+                                .addLast(new HttpServerCodec(
+                                        new HttpDecoderConfig()
+                                                .setMaxInitialLineLength(limits.maxHeaderBytes())
+                                                .setMaxHeaderSize(limits.maxHeaderBytes()),
+                                        MAX_CODEC_PIPELINE_DEPTH))
                                 .addLast(connectionHandler);
                     }
                 })
--- a/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ChannelResponseSink.java
@@ -1,11 +1,16 @@
 package io.endiveshed.net.http.internal;
 
+import io.endiveshed.net.http.ClientMemory;
 import io.endiveshed.net.http.ResponseSink;
 import io.endiveshed.protocol.Header;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -27,14 +32,20 @@
     private final BooleanSupplier keepAlive;
     private final boolean chunked;
     private final boolean closesOutputOnly;
+    private final ClientMemory.Share memory;
     private final Consumer<Boolean> whenFinished;
+    private long unreadBytes;
     private Runnable disconnectAction;
     private boolean isFinished;
     private boolean keepsOpen;
 
     ChannelResponseSink(
-            ChannelHandlerContext ctx, BooleanSupplier keepAlive, boolean chunked, Consumer<Boolean> whenFinished) {
-        this(ctx, keepAlive, chunked, false, whenFinished);
+            ChannelHandlerContext ctx,
+            BooleanSupplier keepAlive,
+            boolean chunked,
+            ClientMemory.Share memory,
+            Consumer<Boolean> whenFinished) {
+        this(ctx, keepAlive, chunked, false, memory, whenFinished);
     }
 
     /**
@@ -43,6 +54,7 @@
      * @param keepAlive returns whether the connection stays open after the response; called when the response starts
      * @param chunked whether the caller understands chunked bodies
      * @param closesOutputOnly whether only the output is closed after the response; the owner then closes the channel
+     * @param memory accounts for what the caller has not read
      * @param whenFinished called when the response has ended, with whether the connection stays open
      */
     ChannelResponseSink(
@@ -50,7 +62,9 @@
             BooleanSupplier keepAlive,
             boolean chunked,
             boolean closesOutputOnly,
+            ClientMemory.Share memory,
             Consumer<Boolean> whenFinished) {
+        this.memory = memory;
         this.closesOutputOnly = closesOutputOnly;
         this.ctx = ctx;
         this.keepAlive = keepAlive;
@@ -67,7 +81,7 @@
             HttpUtil.setContentLength(response, body.length);
             keepsOpen = keepAlive.getAsBoolean();
             HttpUtil.setKeepAlive(response, keepsOpen);
-            finish(ctx.writeAndFlush(response));
+            finish(writeTracked(response));
         });
     }
 
@@ -87,7 +101,7 @@
 
     @Override
     public void write(byte[] bytes, Runnable whenWritten) {
-        onEventLoop(() -> ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        onEventLoop(() -> writeTracked(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
                 .addListener(future -> whenWritten.run()));
     }
 
@@ -124,6 +138,45 @@
         }
     }
 
+    /**
+     * Writes a message and accounts for what stays unwritten because the caller does not read; that is nothing for most
+     * messages. A long message reports its progress, so that a caller that reads slowly counts as one.
+     */
+    private ChannelFuture writeTracked(Object message) {
+        ChannelProgressivePromise promise = ctx.newProgressivePromise();
+        ctx.writeAndFlush(message, promise);
+        updateUnread();
+        if (unreadBytes > 0) {
+            promise.addListener(new UnreadListener());
+        }
+        return promise;
+    }
+
+    private void updateUnread() {
+        ChannelOutboundBuffer outbound = ctx.channel().unsafe().outboundBuffer();
+        long unread = outbound == null ? 0 : outbound.totalPendingWriteBytes();
+        if (unread < unreadBytes) {
+            memory.progressed(unreadBytes - unread);
+        }
+        if (unread != unreadBytes) {
+            unreadBytes = unread;
+            memory.resize(ClientMemory.Kind.RESPONSE, unread);
+        }
+    }
+
+    /** Updates what is unread whenever a part of a message was written, and at its end. */
+    private final class UnreadListener implements ChannelProgressiveFutureListener {
+        @Override
+        public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+            updateUnread();
+        }
+
+        @Override
+        public void operationComplete(ChannelProgressiveFuture future) {
+            updateUnread();
+        }
+    }
+
     private void finish(ChannelFuture written) {
         isFinished = true;
         if (closesOutputOnly && ctx.channel() instanceof DuplexChannel duplex) {
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -1,7 +1,8 @@
 package io.endiveshed.net.http.internal;
 
-import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
+import io.endiveshed.net.http.ClientMemory;
+import io.endiveshed.net.http.ClientMemory.Kind;
 import io.endiveshed.net.http.ErrorResponses;
 import io.endiveshed.net.http.HttpRequestData;
 import io.endiveshed.net.http.HttpServerLimits;
@@ -17,34 +18,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
+import java.util.Optional;
 
 /** Assembles the requests of one connection and runs them one at a time. */
 public final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
-    /**
-     * Maximum number of message parts of pipelined requests queued while a request runs; above it, the connection
-     * closes.
-     */
-    private static final int MAX_PIPELINED_PARTS = 64;
-
-    private static final int MIN_INITIAL_BODY_BYTES = 1024;
-
-    /**
-     * Maximum size of the initial body buffer. Content-Length sets the size only up to this bound, because announcing a
-     * long body costs the caller nothing.
-     */
-    private static final int MAX_INITIAL_BODY_BYTES = 64 * 1024;
-
     /**
      * Maximum time for which a connection stays open without a request. It also bounds a header section whose first
      * bytes arrived in one packet with the previous request, because the codec does not report that it has buffered
@@ -60,15 +40,20 @@
 
     private final ServerContext serverContext;
     private final HttpServerLimits limits;
-    private final Deque<HttpObject> pipelinedParts = new ArrayDeque<>();
+    private final PipelinedParts pipelinedParts = new PipelinedParts();
+    private final ConnectionTimer timer = new ConnectionTimer();
+    private final HeaderSectionCost headerCost = new HeaderSectionCost();
+    private ClientMemory.Share memory;
     private HttpRequest request;
-    private ByteArrayOutputStream body;
+    private RequestBody body;
+    private long announcedBytes;
     private int bodyBytesAtLastCheck;
-    private long reservedBodyBytes;
+    private int bufferedBodyBytes;
+    private boolean isRunningPipelined;
+    private boolean hasHeaderPart;
     private ChannelResponseSink runningResponse;
     private boolean idle;
     private boolean rejected;
-    private ScheduledFuture<?> timeout;
     private boolean closing;
     private long idleSinceNanos;
     private ChannelHandlerContext context;
@@ -85,19 +70,34 @@
         context = ctx;
         idleSinceNanos = System.nanoTime();
         serverContext.connections().add(ctx.channel());
-        startTimeout(ctx, limits.headerTimeout(), () -> rejectTimedOut(ctx, "header section", limits.headerTimeout()));
+        Optional<ClientMemory.Share> share = serverContext.openShare(ctx, shortage -> drop(ctx, shortage));
+        if (share.isEmpty()) {
+            rejected = true;
+            ctx.close();
+            return;
+        }
+        memory = share.get();
+        timer.start(ctx, limits.headerTimeout(), () -> rejectTimedOutHeader(ctx));
     }
 
     /**
      * Starts the timeout of the header section when the first bytes of a request arrive. The codec reports a header
      * section only when it is complete.
      */
-    public void onBytesArrived() {
+    public void onBytesArrived(ByteBuf bytes) {
+        if (request != null && announcedBytes - body.size() >= bytes.readableBytes()) {
+            headerCost.arrivedBodyOnly();
+        } else {
+            headerCost.arrived(bytes);
+        }
+        if (memory != null) {
+            memory.progressed(bytes.readableBytes());
+        }
+        hasHeaderPart |= request == null && runningResponse == null;
         if (idle) {
             ChannelHandlerContext ctx = context;
             idle = false;
-            startTimeout(
-                    ctx, limits.headerTimeout(), () -> rejectTimedOut(ctx, "header section", limits.headerTimeout()));
+            timer.start(ctx, limits.headerTimeout(), () -> rejectTimedOutHeader(ctx));
         }
     }
 
@@ -105,14 +105,79 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (rejected || closing) {
             ReferenceCountUtil.release(part);
-        } else if (runningResponse == null) {
+        } else if (canAccept(ctx)) {
             accept(ctx, part);
-        } else if (pipelinedParts.size() < MAX_PIPELINED_PARTS) {
-            pipelinedParts.add(part);
         } else {
-            ReferenceCountUtil.release(part);
-            serverContext.countRejected(ErrorKind.INVALID_REQUEST);
+            queue(ctx, part);
+        }
+    }
+
+    /** Accounts for a header section of which the codec holds the first part. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        pipelinedParts.readCompleted();
+        watchBody(ctx);
+        if (request == null && runningResponse == null && !rejected && !closing) {
+            holdIncompleteHeader(ctx);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        runPipelined(ctx);
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    /** Returns whether a part can be handled at once. */
+    private boolean canAccept(ChannelHandlerContext ctx) {
+        return runningResponse == null && pipelinedParts.isEmpty() && (request != null || pipelinedParts.canStart(ctx));
+    }
+
+    private void holdIncompleteHeader(ChannelHandlerContext ctx) {
+        if (memory.bytes(Kind.HEADERS) != headerCost.bytes() && !memory.tryResize(Kind.HEADERS, headerCost.bytes())) {
+            refuse(ctx, Kind.HEADERS);
+        }
+    }
+
+    /** Queues a part of a pipelined request, and reads no more if the queue is long. */
+    private void queue(ChannelHandlerContext ctx, HttpObject part) {
+        pipelinedParts.add(part);
+        if (!memory.tryResize(Kind.PIPELINED, pipelinedParts.bytes())) {
+            serverContext.reportDropped(Kind.PIPELINED, memory.address());
+            closing = true;
             ctx.close();
+            return;
+        }
+        pipelinedParts.schedule(ctx, () -> runPipelined(ctx));
+    }
+
+    /** Runs the requests that wait, as long as the client reads the responses. */
+    private void runPipelined(ChannelHandlerContext ctx) {
+        if (isRunningPipelined || memory == null) {
+            return;
+        }
+        isRunningPipelined = true;
+        boolean hadParts = !pipelinedParts.isEmpty();
+        while (runningResponse == null
+                && !rejected
+                && !closing
+                && !pipelinedParts.isEmpty()
+                && (request != null || pipelinedParts.canStart(ctx))) {
+            accept(ctx, pipelinedParts.poll());
+        }
+        isRunningPipelined = false;
+        if (hadParts) {
+            memory.tryResize(Kind.PIPELINED, pipelinedParts.bytes());
+            pipelinedParts.schedule(ctx, () -> runPipelined(ctx));
+            watchBody(ctx);
+        }
+    }
+
+    /** Starts the timeout of a body of which nothing may have arrived. */
+    private void watchBody(ChannelHandlerContext ctx) {
+        if (request != null && !timer.isRunning()) {
+            timer.start(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
         }
     }
 
@@ -128,22 +193,21 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        cancelTimeout();
-        pipelinedParts.forEach(ReferenceCountUtil::release);
+        timer.cancel();
         pipelinedParts.clear();
         if (runningResponse != null) {
             runningResponse.notifyDisconnected();
         }
-        releaseBody();
+        countBufferedBody(0);
+        if (memory != null) {
+            memory.close();
+        }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            Logger.error(
-                    cause,
-                    "connection from {} closed by an unexpected error",
-                    ctx.channel().remoteAddress());
+            serverContext.reportUnexpected(ctx.channel().remoteAddress(), cause);
         }
         ctx.close();
     }
@@ -151,7 +215,8 @@
     private void accept(ChannelHandlerContext ctx, HttpObject part) {
         try {
             if (part.decoderResult().isFailure()) {
-                rejectMalformed(ctx, part.decoderResult().cause());
+                rejectAndClose(
+                        ctx, RequestFailures.malformed(part.decoderResult().cause(), limits));
                 return;
             }
             if (part instanceof HttpRequest head) {
@@ -167,55 +232,60 @@
 
     private void startRequest(ChannelHandlerContext ctx, HttpRequest head) {
         idle = false;
+        hasHeaderPart = false;
+        pipelinedParts.requestStarted();
         long announced = HttpUtil.getContentLength(head, 0L);
         if (announced > limits.maxBodyBytes()) {
-            rejectAndClose(ctx, bodyTooLarge());
+            rejectAndClose(ctx, RequestFailures.bodyTooLarge(limits));
             return;
         }
         if (HttpUtil.is100ContinueExpected(head)) {
             ctx.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
+        headerCost.messagePartEnded();
         request = head;
-        body = new ByteArrayOutputStream(
-                (int) Math.min(MAX_INITIAL_BODY_BYTES, Math.max(MIN_INITIAL_BODY_BYTES, announced)));
+        if (!memory.tryResize(Kind.HEADERS, PipelinedParts.decodedBytes(head))) {
+            refuse(ctx, Kind.HEADERS);
+            return;
+        }
+        announcedBytes = announced;
+        body = new RequestBody(announced > 0 ? (int) announced : limits.maxBodyBytes());
         bodyBytesAtLastCheck = 0;
-        cancelTimeout();
+        timer.cancel();
     }
 
     private void appendBody(ChannelHandlerContext ctx, HttpContent content) {
         ByteBuf bytes = content.content();
         int length = bytes.readableBytes();
         if (body.size() + length > limits.maxBodyBytes()) {
-            rejectAndClose(ctx, bodyTooLarge());
+            rejectAndClose(ctx, RequestFailures.bodyTooLarge(limits));
             return;
         }
-        if (!serverContext.tryReserveBodyBytes(length)) {
-            rejectAndClose(ctx, bufferedBodiesTooLarge());
+        int allocated = body.allocatedBytesAfter(length);
+        if (memory.bytes(Kind.BODY) != allocated && !memory.tryResize(Kind.BODY, allocated)) {
+            refuse(ctx, Kind.BODY);
             return;
         }
-        reservedBodyBytes += length;
-        byte[] copy = new byte[length];
-        bytes.readBytes(copy);
-        body.write(copy, 0, length);
+        body.append(bytes);
+        countBufferedBody(body.size());
         if (content instanceof LastHttpContent) {
             run(ctx);
-        } else if (timeout == null) {
-            startTimeout(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
         }
     }
 
     private void checkBodyRate(ChannelHandlerContext ctx) {
         if (body.size() - bodyBytesAtLastCheck < limits.minBodyBytesPerTimeout()) {
-            rejectTimedOut(ctx, "body", limits.bodyTimeout());
+            rejectAndClose(ctx, RequestFailures.timedOut("body", limits.bodyTimeout()));
             return;
         }
         bodyBytesAtLastCheck = body.size();
-        startTimeout(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
+        timer.start(ctx, limits.bodyTimeout(), () -> checkBodyRate(ctx));
     }
 
     private void run(ChannelHandlerContext ctx) {
-        cancelTimeout();
+        timer.cancel();
+        headerCost.messagePartEnded();
         HttpRequestData data =
                 new HttpRequestData(request.method().name(), request.uri(), request.headers(), body.toByteArray());
         boolean keepAlive = HttpUtil.isKeepAlive(request);
@@ -226,90 +296,98 @@
                 ctx,
                 () -> keepAlive && !serverContext.connections().isDraining(),
                 chunked,
+                memory,
                 keptOpen -> onResponseFinished(ctx, keptOpen));
+        memory.setRunning(true);
         serverContext.handler().handle(data, runningResponse);
     }
 
     private void onResponseFinished(ChannelHandlerContext ctx, boolean keptOpen) {
         runningResponse = null;
-        releaseBody();
+        countBufferedBody(0);
+        memory.setRunning(false);
+        memory.tryResize(Kind.BODY, 0);
         idleSinceNanos = System.nanoTime();
         // A pipelined request after a response that closes the connection is not run: its response could not be sent.
         closing = !keptOpen;
-        if (closing || !ctx.channel().isActive()) {
+        if (!ctx.channel().isActive()) {
             return;
         }
-        while (runningResponse == null && !rejected && !pipelinedParts.isEmpty()) {
-            accept(ctx, pipelinedParts.poll());
+        if (closing) {
+            closeUnlessRead(ctx);
+            return;
         }
-        if (runningResponse == null && request == null && !rejected && timeout == null) {
+        runPipelined(ctx);
+        if (runningResponse == null && request == null && !rejected && !closing) {
+            holdIncompleteHeader(ctx);
+        }
+        if (runningResponse == null && request == null && !rejected && !timer.isRunning()) {
             idle = true;
-            startTimeout(ctx, IDLE_TIMEOUT, ctx::close);
+            closeUnlessRead(ctx);
         }
     }
 
-    private void rejectMalformed(ChannelHandlerContext ctx, Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        ErrorKind kind = tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.INVALID_REQUEST;
-        String message = tooLong
-                ? "request line or header section exceeds " + limits.maxHeaderBytes() + " bytes"
-                : "malformed HTTP: " + cause.getMessage();
-        rejectAndClose(ctx, Failure.of(kind).message(message).build());
+    /** Closes an idle connection after the idle timeout, and later if its client still reads the response. */
+    private void closeUnlessRead(ChannelHandlerContext ctx) {
+        long unread = memory.bytes(Kind.RESPONSE);
+        timer.start(ctx, IDLE_TIMEOUT, () -> {
+            if (memory.bytes(Kind.RESPONSE) < unread) {
+                closeUnlessRead(ctx);
+            } else {
+                ctx.close();
+            }
+        });
     }
 
-    private void rejectTimedOut(ChannelHandlerContext ctx, String part, Duration after) {
-        rejectAndClose(
-                ctx,
-                Failure.of(ErrorKind.REQUEST_TIMEOUT)
-                        .message("the " + part + " was incomplete or too slow after " + after.toMillis() + " ms")
-                        .build());
+    private void rejectTimedOutHeader(ChannelHandlerContext ctx) {
+        rejectAndClose(ctx, RequestFailures.timedOut("header section", limits.headerTimeout()));
     }
 
     private void rejectAndClose(ChannelHandlerContext ctx, Failure failure) {
-        serverContext.countRejected(failure.kind());
-        rejected = true;
-        request = null;
-        body = null;
-        releaseBody();
-        ErrorResponses.send(new ChannelResponseSink(ctx, () -> false, true, true, keptOpen -> {}), failure);
-        startTimeout(ctx, LINGERING_CLOSE_TIME, ctx::close);
-    }
-
-    private void releaseBody() {
-        serverContext.releaseBodyBytes(reservedBodyBytes);
-        reservedBodyBytes = 0;
+        discardRequest(failure);
+        ctx.channel().config().setAutoRead(true);
+        ErrorResponses.send(new ChannelResponseSink(ctx, () -> false, true, true, memory, keptOpen -> {}), failure);
+        timer.start(ctx, LINGERING_CLOSE_TIME, ctx::close);
     }
 
-    private Failure bodyTooLarge() {
-        return Failure.of(ErrorKind.BODY_TOO_LARGE)
-                .message("body exceeds " + limits.maxBodyBytes() + " bytes")
-                .build();
+    /** Refuses an incomplete request, for which there is no memory, because its client is the one to be dropped. */
+    private void refuse(ChannelHandlerContext ctx, Kind shortage) {
+        serverContext.reportDropped(shortage, memory.address());
+        if (request != null || hasHeaderPart) {
+            rejectAndClose(ctx, RequestFailures.memoryShort());
+        } else {
+            ctx.close();
+        }
     }
 
-    private Failure bufferedBodiesTooLarge() {
-        return Failure.of(ErrorKind.OVERLOADED)
-                .message("the request bodies of all connections would exceed " + limits.maxBufferedBodyBytes()
-                        + " bytes")
-                .retryAfter(Duration.ofSeconds(1))
-                .build();
+    /** Closes the connection, whose memory is needed for others; an incomplete request is told that it has not run. */
+    private void drop(ChannelHandlerContext ctx, Kind shortage) {
+        serverContext.reportDropped(shortage, memory.address());
+        boolean isIncomplete = !rejected && !closing && (request != null || hasHeaderPart);
+        if (isIncomplete && ctx.channel().isWritable()) {
+            discardRequest(RequestFailures.memoryShort());
+            ErrorResponses.send(
+                    new ChannelResponseSink(ctx, () -> false, true, memory, keptOpen -> {}),
+                    RequestFailures.memoryShort());
+        }
+        ctx.close();
     }
 
-    private void startTimeout(ChannelHandlerContext ctx, Duration after, Runnable action) {
-        cancelTimeout();
-        timeout = ctx.executor()
-                .schedule(
-                        () -> {
-                            timeout = null;
-                            action.run();
-                        },
-                        after.toMillis(),
-                        TimeUnit.MILLISECONDS);
+    private void discardRequest(Failure failure) {
+        serverContext.countRejected(failure.kind());
+        rejected = true;
+        request = null;
+        body = null;
+        countBufferedBody(0);
+        pipelinedParts.clear();
+        memory.tryResize(Kind.PIPELINED, 0);
+        memory.tryResize(Kind.BODY, 0);
+        memory.tryResize(Kind.HEADERS, 0);
     }
 
-    private void cancelTimeout() {
-        if (timeout != null) {
-            timeout.cancel(false);
-            timeout = null;
-        }
+    /** Sets the size of the received body in the metric of all connections. */
+    private void countBufferedBody(int size) {
+        serverContext.countBufferedBody(size - bufferedBodyBytes);
+        bufferedBodyBytes = size;
     }
 }
