--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import io.endiveshed.base.id.InstanceId;
 import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.service.DomainRegions;
+import io.endiveshed.net.http.HttpServerLimits;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -21,6 +22,7 @@
  * @param bounds time limits and retry budget set by the operator
  * @param regions regions of the failure domains, also of that of the instance if its region is set
  * @param responses limits of the responses of targets
+ * @param clients limits of the requests of callers
  */
 public record GatewaySettings(
         InstanceId instance,
@@ -32,7 +34,8 @@
         InetSocketAddress platform,
         Bounds bounds,
         DomainRegions regions,
-        ResponseLimits responses) {
+        ResponseLimits responses,
+        HttpServerLimits clients) {
     /**
      * Time limits and retry budget.
      *
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -6,6 +6,7 @@
 import io.endiveshed.coordination.limit.ColdBounds;
 import io.endiveshed.coordination.service.DomainRegions;
 import io.endiveshed.coordination.service.Endpoint;
+import io.endiveshed.net.http.HttpServerLimits;
 import io.endiveshed.settings.Section;
 import io.endiveshed.settings.SettingsError;
 import io.endiveshed.settings.YamlFile;
@@ -72,6 +73,8 @@
         GatewaySettings.ResponseLimits responses = root.section("responses")
                 .map(GatewaySettingsFile::readResponses)
                 .orElseGet(GatewaySettings.ResponseLimits::defaults);
+        HttpServerLimits clients =
+                root.section("clients").map(ClientLimits::read).orElseGet(ClientLimits::defaults);
         root.reportUnknownKeys();
         if (!errors.isEmpty()) {
             return Optional.empty();
@@ -86,7 +89,8 @@
                 platform.orElseThrow(),
                 bounds.orElseThrow(),
                 new DomainRegions(regions),
-                responses));
+                responses,
+                clients));
     }
 
     /** Returns the region of each failure domain that the file names. */
