Adapt the tests of the merged parts to one prober for all feeds

FeedFollower.whenReachable is replaced by probeFor, so the test of lost watches after one failed call now checks that the other feed reads what its lost watch hid, which is what the action did. EnginePickerTest asks for a permit through the same method as a send.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -3,6 +3,7 @@
 import io.endiveshed.gateway.ForwardingOptions;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Target picked for one attempt, with the resources that the attempt holds until it ends. Confined to one event loop.
@@ -27,6 +28,15 @@
         return target().status(nowNanos).isWithdrawn();
     }
 
+    /**
+     * Returns whether the request may be written now.
+     *
+     * @param acquire counts the request against the restrictions of the target; returns whether they allow it
+     */
+    default boolean tryAcquire(long nowNanos, Predicate<TargetRuntime> acquire) {
+        return !isWithdrawn(nowNanos) && acquire.test(target());
+    }
+
     /** Returns the engines that help the target to read the prompt. */
     List<ForwardingOptions.Helper> helpers();
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -175,8 +175,7 @@
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
                 .condition(() -> reasonNotToSend().isEmpty()
-                        && !prepared.isWithdrawn(System.nanoTime())
-                        && context.cold().tryAcquireRequest(target))
+                        && prepared.tryAcquire(System.nanoTime(), context.cold()::tryAcquireRequest))
                 // A late copy of the first response of a target has the same id as its next one.
                 .onNewConnection(!triedTargets.add(target))
                 .build();
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/EnginePickerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/EnginePickerTest.java
@@ -81,7 +81,8 @@
         evacuated.put(own.equals(NORTH) ? SOUTH : NORTH);
         assertThat(picked.target().mayGetRequests(nowNanos)).isTrue();
         assertThat(picked.isWithdrawn(nowNanos)).isTrue();
-        assertThat(picked.tryAcquire(nowNanos)).isFalse();
+        assertThat(picked.tryAcquire(nowNanos, target -> target.tryAcquireRequest(nowNanos)))
+                .isFalse();
     }
 
     private EnginePicker picker() {
@@ -92,7 +93,8 @@
                 new EvacuationGate(evacuated, () -> target.instance().domain())));
         targets.listed(new FeedBatch<>(List.of(engine("engine-1", NORTH), engine("engine-2", SOUTH)), 1));
         EngineBacklogTracker backlogs = new EngineBacklogTracker(targets);
-        EntryRecord self = new EntryRecord(new InstanceId("entry-1"), Endpoint.parse("127.0.0.1:1"), 1);
+        EntryRecord self =
+                new EntryRecord(new InstanceId("entry-1"), Endpoint.parse("127.0.0.1:1"), 1, Optional.of(NORTH));
         CrashMonitor crashes =
                 new CrashMonitor(self.instance(), new ReachableTargets(), new FakeCrashRegistry(), loop, metrics, log);
         PeerExchange peers = new PeerExchange(
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedFollowerTest.java
@@ -209,15 +209,21 @@
 
     /** Guards against lost watches of other feeds that nobody repeats after the store was unavailable. */
     @Test
-    void otherFeedsAreToldWhenTheStoreAnswersAgainAfterOneFailedCall() {
-        FeedFollower<String> follower = startFollower(PACE);
-        int[] reachable = new int[1];
-        follower.whenReachable(() -> reachable[0]++);
-        advance(1_000);
-        assertThat(reachable[0]).isEqualTo(0);
-        feed.failCurrentCall();
-        advance(1_000);
-        assertThat(reachable[0]).isEqualTo(1);
+    void otherFeedsCallAgainWhenTheStoreAnswersAgainAfterOneFailedCall() {
+        FakeFeed probedFeed = feed;
+        FeedFollower<String> prober = startFollower(PACE);
+        feed = new FakeFeed();
+        prober.probeFor(List.of(startFollower(FeedPaces.rareChanges())));
+        advanceWith(probedFeed, 1_000);
+        feed.becomeSilent();
+        feed.isSilent = false;
+        feed.put("hidden");
+        advanceWith(probedFeed, 1_000);
+        assertThat(known).isEmpty();
+
+        probedFeed.failCurrentCall();
+        advanceWith(probedFeed, 1_000);
+        assertThat(known).containsExactly("hidden");
     }
 
     /** Guards against a target that left and gets requests for seconds because one packet of a call was lost. */
