Model confirmations by another entry in the specification of freshness

The age of what an entry knows may now come from another one. The specification has a reader with clock errors of its own, questions, reports and answers that may be delayed. No request runs past the maximum age if the age counts from the question; counted from the arrival of the answer the solver finds a counterexample.

--- a/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
+++ b/verification/src/test/java/io/endiveshed/verification/FreshnessSpecificationTest.java
@@ -48,6 +48,19 @@
                 .isTrue();
     }
 
+    /** Guards against a confirmation by another entry that lets a request run past the maximum age of state. */
+    @Test
+    void relayedConfirmationAuthorizesNoRequestAfterMaxAge() {
+        assertThat(specification.isSatisfiable("noRelayedRunPastMaxAge")).isFalse();
+        assertThat(specification.isSatisfiable("relayedRunBeforeMaxAge")).isTrue();
+    }
+
+    /** Guards against a specification that misses an answer of another entry which was delayed. */
+    @Test
+    void ageSinceArrivalOfARelayedConfirmationGivesACounterexample() {
+        assertThat(specification.isSatisfiable("relayedAgeSinceArrival")).isTrue();
+    }
+
     /**
      * Documents a known limit: the age is underestimated if the instance is suspended and its time of day is set back
      * by the same amount in the meantime.
--- a/verification/src/test/resources/freshness.als
+++ b/verification/src/test/resources/freshness.als
@@ -92,19 +92,19 @@
 
 check noRunPastMaxAge {
   (noSimultaneousClockErrors and all r: Run | allowedByBothClocks[r]) => allRunsWithinMaxAge
-} for 9 Moment, 2 Call, 2 Run, 6 Int
+} for 9 Moment, 2 Call, 2 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 check monotonicClockOnly {
   (noSimultaneousClockErrors and all r: Run | allowedByMonotonicClock[r]) => allRunsWithinMaxAge
-} for 8 Moment, 1 Call, 1 Run, 6 Int
+} for 8 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 check timeOfDayOnly {
   (noSimultaneousClockErrors and all r: Run | allowedByTimeOfDay[r]) => allRunsWithinMaxAge
-} for 8 Moment, 1 Call, 1 Run, 6 Int
+} for 8 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 check ageSinceAnswer {
   (noSimultaneousClockErrors and all r: Run | allowedByAgeSinceAnswer[r]) => allRunsWithinMaxAge
-} for 8 Moment, 1 Call, 1 Run, 6 Int
+} for 8 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 -- What a read at a moment shows: the copy does not have a revocation that was made after it.
 pred keyLooksValid[m: Moment] {
@@ -126,29 +126,29 @@
 
 check noRunPastMaxAgeWithCopies {
   (noSimultaneousClockErrors and all r: Run | withinMaxAge[r] and isNotFromCopy[r]) => allRunsWithinMaxAge
-} for 9 Moment, 2 Call, 2 Run, 6 Int
+} for 9 Moment, 2 Call, 2 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 check copiesConfirm {
   (noSimultaneousClockErrors and all r: Run | withinMaxAge[r]) => allRunsWithinMaxAge
-} for 9 Moment, 1 Call, 1 Run, 6 Int
+} for 9 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 -- A call that was sent before the return and read the copy confirms nothing either.
 check callsSentBeforeTheReturnConfirm {
   (noSimultaneousClockErrors and all r: Run | withinMaxAge[r]
     and (isNotFromCopy[r] or lt[r.basis.sent, Store.restored])) => allRunsWithinMaxAge
-} for 9 Moment, 1 Call, 1 Run, 6 Int
+} for 9 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 -- Shows that a request can run after a return.
 run runAfterReturn {
   noSimultaneousClockErrors
   all r: Run | withinMaxAge[r] and isNotFromCopy[r]
   some r: Run | some Store.restored and gt[r.at, Store.restored]
-} for 9 Moment, 2 Call, 2 Run, 6 Int
+} for 9 Moment, 2 Call, 2 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 -- The known limit described in docs/platform.md.
 check simultaneousClockErrors {
   (all r: Run | allowedByBothClocks[r]) => allRunsWithinMaxAge
-} for 8 Moment, 1 Call, 1 Run, 6 Int
+} for 8 Moment, 1 Call, 1 Run, 0 Confirmation, 0 RelayedRun, 6 Int
 
 -- Shows that the first check does not hold merely because no request can run.
 run runBeforeMaxAge {
@@ -156,4 +156,73 @@
   all r: Run | allowedByBothClocks[r]
   some r: Run | #elapsed[Store.revoked, r.at] = 2
   some Entry.suspended and some Entry.setBack
-} for 9 Moment, 2 Call, 2 Run, 6 Int
+} for 9 Moment, 2 Call, 2 Run, 0 Confirmation, 0 RelayedRun, 6 Int
+
+-- Clock errors of another entry that reads the store.
+one sig Reader {
+  readerSuspended: set Moment,
+  readerSetBack: set Moment,
+  readerSetForward: set Moment
+}
+
+-- Answer of the reader to a question of the entry, which holds what the reader has read. Each step may be delayed.
+sig Confirmation {
+  asked: Moment,
+  -- moment at which the reader has received the question and computes the age that it reports
+  reported: Moment,
+  arrived: Moment,
+  source: Call
+} {
+  lte[asked, reported] and lte[reported, arrived] and lte[source.answered, reported]
+}
+
+-- A request that runs on the state confirmed by the reader.
+sig RelayedRun {
+  ranAt: Moment,
+  confirmation: Confirmation
+} {
+  gte[ranAt, confirmation.arrived]
+}
+
+fun readerMonotonicAge[c: Confirmation]: Int { #(elapsed[c.source.sent, c.reported] - Reader.readerSuspended) }
+
+fun readerTimeOfDayAge[c: Confirmation]: Int {
+  minus[plus[#elapsed[c.source.sent, c.reported], #(elapsed[c.source.sent, c.reported] & Reader.readerSetForward)],
+    #(elapsed[c.source.sent, c.reported] & Reader.readerSetBack)]
+}
+
+-- Whether the larger age of the reader and the larger age since a moment by the clocks of the entry are together
+-- within the maximum.
+pred withinMaxAgeSince[c: Confirmation, from: Moment, to: Moment] {
+  all reader: readerMonotonicAge[c] + readerTimeOfDayAge[c] |
+    lte[plus[reader, monotonicAge[from, to]], maxAge] and lte[plus[reader, timeOfDayAge[from, to]], maxAge]
+}
+
+pred noSimultaneousClockErrorsOfEither {
+  all r: RelayedRun | let c = r.confirmation, mine = elapsed[c.asked, r.ranAt],
+      others = elapsed[c.source.sent, c.reported] {
+    no mine & Entry.suspended or no mine & Entry.setBack
+    no others & Reader.readerSuspended or no others & Reader.readerSetBack
+  }
+}
+
+pred allRelayedRunsWithinMaxAge { all r: RelayedRun | lte[#elapsed[Store.revoked, r.ranAt], maxAge] }
+
+check noRelayedRunPastMaxAge {
+  (noSimultaneousClockErrorsOfEither and all r: RelayedRun | lt[r.confirmation.source.read, Store.revoked]
+    and withinMaxAgeSince[r.confirmation, r.confirmation.asked, r.ranAt]) => allRelayedRunsWithinMaxAge
+} for 8 Moment, 1 Call, 1 Run, 1 Confirmation, 1 RelayedRun, 6 Int
+
+-- The age counts from the arrival of the answer, which may have been delayed.
+check relayedAgeSinceArrival {
+  (noSimultaneousClockErrorsOfEither and all r: RelayedRun | lt[r.confirmation.source.read, Store.revoked]
+    and withinMaxAgeSince[r.confirmation, r.confirmation.arrived, r.ranAt]) => allRelayedRunsWithinMaxAge
+} for 8 Moment, 1 Call, 1 Run, 1 Confirmation, 1 RelayedRun, 6 Int
+
+-- Shows that a request can run on a confirmation of the reader.
+run relayedRunBeforeMaxAge {
+  noSimultaneousClockErrorsOfEither
+  some RelayedRun
+  all r: RelayedRun | lt[r.confirmation.source.read, Store.revoked]
+    and withinMaxAgeSince[r.confirmation, r.confirmation.asked, r.ranAt] and gt[r.ranAt, Store.revoked]
+} for 8 Moment, 1 Call, 1 Run, 1 Confirmation, 1 RelayedRun, 6 Int
