--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EngineBacklog.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EngineBacklog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The unfinished work on one engine, as known from this entry's own requests and from the notices of other entries.
@@ -69,13 +70,22 @@
 
     /**
      * Removes a task that has ended. Its prefill that was still to be done, in milliseconds, is no longer needed, so it is
-     * subtracted from the predicted end of all prefill.
+     * subtracted from the predicted end of all prefill. Returns the task; empty if the backlog does not have it.
      */
-    public void remove(int owner, long number, double remainingPrefillMillis, long nowNanos) {
-        boolean isRemoved = tasks.removeIf(task -> task.owner() == owner && task.number() == number);
-        if (isRemoved && remainingPrefillMillis > 0) {
+    public Optional<EngineTask> remove(int owner, long number, double remainingPrefillMillis, long nowNanos) {
+        Optional<EngineTask> removed = tasks.stream()
+                .filter(task -> task.owner() == owner && task.number() == number)
+                .findFirst();
+        removed.ifPresent(tasks::remove);
+        if (removed.isPresent() && remainingPrefillMillis > 0) {
             prefillEndNanos = Math.max(nowNanos, prefillEndNanos - (long) (remainingPrefillMillis * 1e6));
         }
+        return removed;
+    }
+
+    /** Returns the time in milliseconds that the engine is predicted to need for all prefill placed on it. */
+    public double prefillMillis(long nowNanos) {
+        return Math.max(0, prefillEndNanos - nowNanos) / 1e6;
     }
 
     /** Removes all tasks of an entry that has left. */
--- a/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/engine/EnginePlacer.java
@@ -259,7 +259,7 @@
         holders.addAll(prefillOnly);
         double divisionOverhead = engines > 1 ? costModel.dividedStepMillis() * costModel.stepsPerPass() : 0;
         double firstEvent = prefillEnd
-                + costModel.passMillis(primary.decodingRequests + 1)
+                + costModel.passMillis(primary.decodingRequests + 1) / primary.candidate.speedFactor()
                 + divisionOverhead
                 + 2 * primary.candidate.networkDelayMillis();
         double late = lateProbability(firstEvent, request.firstEventBudgetMillis());
@@ -295,23 +295,25 @@
             long nowNanos) {
         EngineBacklog backlog = candidate.backlog();
         EngineOption option = new EngineOption(candidate);
-        double queue = Math.max(0, (backlog.prefillEndNanos() - nowNanos) / NANOS_PER_MILLI);
+        double speed = candidate.speedFactor();
+        double queue = Math.max(0, (backlog.prefillEndNanos() - nowNanos) / NANOS_PER_MILLI) / speed;
         option.queueMillis = queue;
         option.decodingRequests = backlog.decodingRequests();
         long context = backlog.kvTokens();
         int freeSlots = Math.min(costModel.slots(), candidate.slots()) - option.decodingRequests;
         option.hasFreeSlot = freeSlots > 0;
         option.freeKvTokens = (long) (costModel.kvCapacityTokens() * USABLE_KV_SHARE) - context;
-        double pass = costModel.passMillis(option.decodingRequests, context);
-        double passWithRequest = costModel.passMillis(option.decodingRequests + 1, context + request.promptTokens());
+        double pass = costModel.passMillis(option.decodingRequests, context) / speed;
+        double passWithRequest =
+                costModel.passMillis(option.decodingRequests + 1, context + request.promptTokens()) / speed;
         // Prefill starts with the next pass, and the prefill of other prompts often lengthens the current one.
         double startup = option.decodingRequests > 0 ? pass : 0;
-        option.prefillEndMillis = queue + startup + prefill;
+        option.prefillEndMillis = queue + startup + prefill / speed;
         boolean isShort = !isLongPrompt(request.maxPauseMillis());
         double cost = 0;
         boolean hasShortStream = false;
         for (EngineTask task : backlog.tasks()) {
-            cost += delayLoss(task, pass, queue, prefillInPass, nowNanos);
+            cost += delayLoss(task, pass, queue, prefillInPass / speed, nowNanos);
             if (!task.decodes()) {
                 continue;
             }
