Let targets that start or recover get more only as their answers allow

The gateway gave a target that had just started, or whose back-off had ended, as many requests as one in normal service.

TargetRuntime reports the reason RAMPING_UP to pickers; a request that is assigned already counts, so it is not checked again when it is written. Pickers use targets that only ramp up when no other can serve the request. Signals come from ForwardedRequest through AttemptSignals (first event against the prediction, refusal, failure, load that the target reports in Runner-Load), and from the ends of the prompts of other entries. A failure while restricted counts as a bad answer; one answer far later than those of other targets begins a slow start as well.

--- a/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStart.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStart.java
@@ -60,8 +60,15 @@
         this.listener = listener;
     }
 
-    /** Begins to restrict the target, or begins anew if it is restricted already. */
+    /**
+     * Begins to restrict the target. If it is restricted already, a failure counts as a bad answer, and any other cause
+     * begins anew.
+     */
     public void begin(SlowStartCause cause, long nowNanos) {
+        if (limit != null && cause.isOwnFailure()) {
+            fall(cause.text(), nowNanos);
+            return;
+        }
         limit = new AdaptiveConcurrencyLimit(initialRequests, slots, cause.isOwnFailure());
         answersOnTime = 0;
         isPausing = false;
@@ -110,7 +117,7 @@
         if (sign == AnswerSign.ON_TIME) {
             grow();
         } else {
-            fall(sign, nowNanos);
+            fall(sign.text(), nowNanos);
         }
     }
 
@@ -126,10 +133,10 @@
      * event, but no longer than predicted, was most likely answered on time. Any other end says nothing: its caller may
      * have left. As this is weak evidence, it does not count at a limit at which this entry itself saw bad answers lately.
      *
-     * @param firstEventNanos predicted time of its first event
+     * @param firstEventNanos predicted time of its first event; one before the last bad answer does not count
      * @param endNanos predicted time of its end
      */
-    public void endedElsewhere(long firstEventNanos, long endNanos, long placedNanos, long nowNanos) {
+    public void endedElsewhere(long firstEventNanos, long endNanos, long nowNanos) {
         if (limit == null) {
             return;
         }
@@ -137,7 +144,7 @@
             limit.forgetBadAnswers();
         }
         if (limit.isBelowThreshold() && nowNanos - firstEventNanos >= 0 && nowNanos - endNanos <= 0) {
-            answered(AnswerSign.ON_TIME, placedNanos, nowNanos);
+            answered(AnswerSign.ON_TIME, firstEventNanos, nowNanos);
         }
     }
 
@@ -154,7 +161,7 @@
         }
     }
 
-    private void fall(AnswerSign sign, long nowNanos) {
+    private void fall(String cause, long nowNanos) {
         boolean wasAtMinimum = limit.requests() <= AdaptiveConcurrencyLimit.MIN_REQUESTS;
         limit.fall();
         answersOnTime = 0;
@@ -166,7 +173,7 @@
             isPausing = true;
             pauseEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
         }
-        changed(sign.text());
+        changed(cause);
     }
 
     private void changed(String cause) {
--- a/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStartCause.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStartCause.java
@@ -9,7 +9,9 @@
     /** The target did not respond to this entry; its back-off ends. */
     NO_RESPONSE("no response"),
     /** The target has failed several of the last requests of this entry. */
-    FAILURES("failures");
+    FAILURES("failures"),
+    /** An answer to this entry came far later than predicted, and the answers of other targets did not. */
+    SLOW_ANSWER("answer far later than predicted");
 
     private final String text;
 
@@ -22,8 +24,8 @@
         return text;
     }
 
-    /** Returns whether this entry has itself seen the target fail. */
+    /** Returns whether this entry has itself seen bad answers of the target. */
     boolean isOwnFailure() {
-        return this == NO_RESPONSE || this == FAILURES;
+        return this != STARTED && this != RETURNED;
     }
 }
--- a/coordination/src/main/java/io/endiveshed/coordination/pace/SpeedEstimate.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/pace/SpeedEstimate.java
@@ -15,6 +15,9 @@
     /** Speed from which a target counts as fast as predicted; closer predictions are not possible. */
     private static final double FULL_SPEED = 0.67;
 
+    /** Speed below which a single answer is reason for caution; passes that align badly do not explain it. */
+    private static final double CLEARLY_SLOW = 0.4;
+
     /** Time in milliseconds, about one pass of an engine, by which an answer may be later on a target at full speed. */
     private static final double TOLERATED_MILLIS = 50;
 
@@ -67,5 +70,10 @@
         return relative >= FULL_SPEED ? 1 : Math.max(MIN_SPEED, relative);
     }
 
+    /** Returns whether the newest answer alone shows that the target is far slower than the others. */
+    public boolean isNewestClearlySlow() {
+        return !samples.isEmpty() && samples.getLast().speed / reference.speed() < CLEARLY_SLOW;
+    }
+
     private record Sample(double speed, long atNanos) {}
 }
--- a/coordination/src/test/java/io/endiveshed/coordination/pace/SimulatedFleet.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/pace/SimulatedFleet.java
@@ -109,7 +109,7 @@
             if (other != call.entry) {
                 long sentNanos = (long) (call.sentMillis * NANOS_PER_MILLI);
                 long firstEventNanos = sentNanos + (long) (CALL_MILLIS / 2 * NANOS_PER_MILLI);
-                gates.get(other).endedElsewhere(firstEventNanos, sentNanos + TOLERATED_NANOS, sentNanos, nanos());
+                gates.get(other).endedElsewhere(firstEventNanos, sentNanos + TOLERATED_NANOS, nanos());
             }
         }
         startWaiting();
@@ -152,7 +152,7 @@
 
         void answered(AnswerSign sign, long sentNanos, long nowNanos);
 
-        void endedElsewhere(long firstEventNanos, long endNanos, long sentNanos, long nowNanos);
+        void endedElsewhere(long firstEventNanos, long endNanos, long nowNanos);
     }
 
     /** Creates the gate of one entry. */
--- a/coordination/src/test/java/io/endiveshed/coordination/pace/SlowStartFleetTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/pace/SlowStartFleetTest.java
@@ -132,8 +132,8 @@
             }
 
             @Override
-            public void endedElsewhere(long firstEventNanos, long endNanos, long sentNanos, long nowNanos) {
-                slowStart.endedElsewhere(firstEventNanos, endNanos, sentNanos, nowNanos);
+            public void endedElsewhere(long firstEventNanos, long endNanos, long nowNanos) {
+                slowStart.endedElsewhere(firstEventNanos, endNanos, nowNanos);
             }
         };
     }
@@ -163,8 +163,8 @@
                 }
 
                 @Override
-                public void endedElsewhere(long firstEventNanos, long endNanos, long sentNanos, long nowNanos) {
-                    product.endedElsewhere(firstEventNanos, endNanos, sentNanos, nowNanos);
+                public void endedElsewhere(long firstEventNanos, long endNanos, long nowNanos) {
+                    product.endedElsewhere(firstEventNanos, endNanos, nowNanos);
                 }
             };
         }
@@ -190,8 +190,8 @@
                 }
 
                 @Override
-                public void endedElsewhere(long firstEventNanos, long endNanos, long sentNanos, long nowNanos) {
-                    product.endedElsewhere(firstEventNanos, endNanos, sentNanos, nowNanos);
+                public void endedElsewhere(long firstEventNanos, long endNanos, long nowNanos) {
+                    product.endedElsewhere(firstEventNanos, endNanos, nowNanos);
                 }
             };
         }
--- a/coordination/src/test/java/io/endiveshed/coordination/pace/SlowStartTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/pace/SlowStartTest.java
@@ -97,10 +97,10 @@
     @Test
     void onlyEndingsOfOthersThatFitThePredictionCount() {
         slowStart.begin(SlowStartCause.STARTED, 0);
-        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, MILLI, 50 * MILLI);
-        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, MILLI, 2_000 * MILLI);
+        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, 50 * MILLI);
+        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, 2_000 * MILLI);
         assertThat(slowStart.requestLimit()).isEqualTo(2);
-        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, MILLI, 700 * MILLI);
+        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, 700 * MILLI);
         assertThat(slowStart.requestLimit()).isEqualTo(3);
     }
 
@@ -108,12 +108,22 @@
     @Test
     void endingsOfOthersDoNotCountOnceThisEntryHasSeenTheTargetFail() {
         slowStart.begin(SlowStartCause.FAILURES, 0);
-        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, MILLI, 700 * MILLI);
+        slowStart.endedElsewhere(100 * MILLI, 900 * MILLI, 700 * MILLI);
         assertThat(slowStart.requestLimit()).isEqualTo(2);
         answers(AnswerSign.ON_TIME, 1, 800);
         assertThat(slowStart.requestLimit()).isWithin(0.001).of(2.5);
     }
 
+    /** Guards against a connection that fails and thereby ends the pause of a target that is restricted already. */
+    @Test
+    void failureWhileTheTargetIsRestrictedCountsAsABadAnswer() {
+        slowStart.begin(SlowStartCause.STARTED, 0);
+        slowStart.begin(SlowStartCause.NO_RESPONSE, MILLI);
+        assertThat(slowStart.requestLimit()).isEqualTo(1);
+        slowStart.begin(SlowStartCause.NO_RESPONSE, 2 * MILLI);
+        assertThat(slowStart.status(2 * MILLI).waitMillis()).isEqualTo(250);
+    }
+
     private void answers(AnswerSign sign, int count, long millis) {
         for (int i = 0; i < count; i++) {
             slowStart.answered(sign, millis * MILLI, millis * MILLI);
--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway;
 
+import io.endiveshed.coordination.pace.ReportedLoad;
 import io.endiveshed.coordination.service.Endpoint;
 import java.time.Duration;
 import java.util.Optional;
@@ -15,6 +16,7 @@
  * @param pause time for which the target wants no requests; empty if it does not say so
  * @param requestsPerSecond requests a second that the target takes from all entries together; empty if it names no limit
  * @param failedDependency address of the engine that the target names as the cause of the failure
+ * @param load load that the target reports; empty if it reports none
  */
 public record TargetResponseHead(
         int status,
@@ -23,9 +25,22 @@
         boolean isLeaving,
         Optional<Duration> pause,
         OptionalDouble requestsPerSecond,
-        Optional<Endpoint> failedDependency) {
+        Optional<Endpoint> failedDependency,
+        Optional<ReportedLoad> load) {
     private static final int MISDIRECTED_REQUEST = 421;
 
+    /** Creates the head of a response that reports no load. */
+    public TargetResponseHead(
+            int status,
+            boolean isNotRun,
+            boolean isAuthentic,
+            boolean isLeaving,
+            Optional<Duration> pause,
+            OptionalDouble requestsPerSecond,
+            Optional<Endpoint> failedDependency) {
+        this(status, isNotRun, isAuthentic, isLeaving, pause, requestsPerSecond, failedDependency, Optional.empty());
+    }
+
     /** Returns whether another target has taken over the address, so that the response says nothing of this one. */
     public boolean isFromOtherTarget() {
         return status == MISDIRECTED_REQUEST;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Assignment.java
@@ -25,6 +25,11 @@
     /** Returns the predicted time in milliseconds until the response begins. */
     double predictedMillis();
 
+    /** Returns the speed factor of the target that the prediction uses. */
+    default double assumedSpeed() {
+        return 1;
+    }
+
     /** Records that the response, or the first event of a stream, has arrived. */
     void responseStarted();
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EngineBacklogTracker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EngineBacklogTracker.java
@@ -74,7 +74,11 @@
     @Override
     public void ended(int owner, long number, double remainingPrefillMillis) {
         long nowNanos = System.nanoTime();
-        targets.all().forEach(target -> target.backlog().remove(owner, number, remainingPrefillMillis, nowNanos));
+        targets.all()
+                .forEach(target -> target.backlog()
+                        .remove(owner, number, remainingPrefillMillis, nowNanos)
+                        .filter(task -> owner != SELF && task.decodes())
+                        .ifPresent(task -> target.recovery().recordEndElsewhere(task, nowNanos)));
     }
 
     @Override
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -80,29 +80,45 @@
         EngineCostModel costs = request.service().engineCosts().orElseThrow();
         PromptRequest prompt = promptRequest(request, waitingSinceNanos, nowNanos);
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
-        List<EngineCandidate> candidates = candidates(request, excluded, nowNanos, runtimes);
+        List<EngineCandidate> candidates = candidates(request, excluded, false, nowNanos, runtimes);
+        Either<Long, EnginePlacement> placed = place(costs, prompt, candidates, nowNanos);
+        if (placed.isLeft()) {
+            // Engines that ramp up serve a prompt sooner than its caller would come back.
+            List<EngineCandidate> others = candidates(request, excluded, true, nowNanos, runtimes);
+            if (others.size() > candidates.size()) {
+                candidates = others;
+                placed = place(costs, prompt, candidates, nowNanos);
+            }
+        }
         if (candidates.isEmpty()) {
             ServiceName service = request.service().name();
             TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
             return refuse(pauses.reason(), pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY));
         }
-        return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
-                .fold(
-                        waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
-                        placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
+        return placed.fold(
+                waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
+                placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
+    }
+
+    private Either<Long, EnginePlacement> place(
+            EngineCostModel costs, PromptRequest prompt, List<EngineCandidate> candidates, long nowNanos) {
+        return candidates.isEmpty()
+                ? Either.left(0L)
+                : placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos);
     }
 
     /** Returns the eligible engines in the common order, and adds the runtime of each to the map. */
     private List<EngineCandidate> candidates(
             AdmittedRequest request,
             Set<TargetRuntime> excluded,
+            boolean includesRampingUp,
             long nowNanos,
             IdentityHashMap<EngineCandidate, TargetRuntime> runtimes) {
         List<EngineCandidate> candidates = new ArrayList<>();
         for (TargetRuntime target : targets.usableOf(request.service().name())) {
             if (!excluded.contains(target)
                     && !target.failureHistory().isBackingOff(nowNanos)
-                    && target.mayGetRequests(nowNanos)) {
+                    && (target.mayGetRequests(nowNanos) || (includesRampingUp && target.isOnlyRampingUp(nowNanos)))) {
                 double networkDelayMillis = request.service()
                         .delays()
                         .between(domain, target.instance().domain());
@@ -114,7 +130,8 @@
                         target.backlog(),
                         // A part counts as no request, so an engine with a limit would get any number of them.
                         target.limit().requestsPerSecond().isEmpty(),
-                        networkDelayMillis);
+                        networkDelayMillis,
+                        target.recovery().speedFactor(nowNanos));
                 candidates.add(candidate);
                 runtimes.put(candidate, target);
             }
@@ -183,7 +200,8 @@
         peers.started(notice);
         MemoryReservations memoryReservations =
                 new MemoryReservations(memory, loop, log, request.caller().id(), target, reservations, maxUnusedMemory);
-        return new EngineAssignment(target, helpers, memoryReservations, notice, nowNanos);
+        return new EngineAssignment(
+                target, helpers, memoryReservations, notice, placement.primary().speedFactor(), nowNanos);
     }
 
     private static Either<Failure, Assignment> refuse(String message, Duration retryAfter) {
@@ -200,6 +218,7 @@
         private final List<ForwardingOptions.Helper> helpers;
         private final MemoryReservations reservations;
         private final PlacementNotice notice;
+        private final double assumedSpeed;
         private final long placedNanos;
         private boolean hasResponseStarted;
         private boolean isReleased;
@@ -209,11 +228,13 @@
                 List<ForwardingOptions.Helper> helpers,
                 MemoryReservations reservations,
                 PlacementNotice notice,
+                double assumedSpeed,
                 long placedNanos) {
             this.target = target;
             this.helpers = helpers;
             this.reservations = reservations;
             this.notice = notice;
+            this.assumedSpeed = assumedSpeed;
             this.placedNanos = placedNanos;
         }
 
@@ -237,6 +258,11 @@
             return notice.firstEventMillis();
         }
 
+        @Override
+        public double assumedSpeed() {
+            return assumedSpeed;
+        }
+
         @Override
         public void responseStarted() {
             hasResponseStarted = true;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FailureResponder.java
@@ -2,6 +2,7 @@
 
 import io.endiveshed.base.error.ErrorKind;
 import io.endiveshed.base.error.Failure;
+import io.endiveshed.base.error.Outcome;
 import io.endiveshed.gateway.RequestDialect;
 import io.endiveshed.net.http.ErrorResponses;
 import io.endiveshed.net.http.ResponseSink;
@@ -45,4 +46,12 @@
     private static boolean isBlock(Failure failure) {
         return failure.kind() == ErrorKind.REQUEST_BLOCKED || failure.kind() == ErrorKind.PROMPT_BLOCKED;
     }
+
+    /** Returns the failure of a request that may have run. */
+    static Failure unknownOutcome(String message) {
+        return Failure.of(ErrorKind.TARGET_FAILED)
+                .message(message)
+                .outcome(Outcome.UNKNOWN)
+                .build();
+    }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -57,6 +57,7 @@
     private final RequestLog log;
     private Assignment assignment;
     private TargetResponse response;
+    private AttemptSignals signals;
     private HttpExchange exchange;
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> stallTimer;
@@ -156,6 +157,7 @@
     private void send(Assignment prepared, long nowNanos) {
         attempts++;
         TargetRuntime target = prepared.target();
+        signals = new AttemptSignals(prepared, request.service().engineCosts().isPresent(), nowNanos);
         HttpRequestData data = request.caller().data();
         OptionalLong lastEventId =
                 relay.hasStarted() ? relay.lastEventId() : request.caller().lastEventId();
@@ -202,6 +204,9 @@
             from.target().pause(pause, System.nanoTime());
             log.targetPaused(from.target(), pause);
         });
+        if (from == response) {
+            signals.headArrived(from.head(), System.nanoTime());
+        }
         context.limits().answered(from.target(), request.caller().id(), from.head(), from.sentNanos());
     }
 
@@ -213,6 +218,7 @@
         if (firstMillis < 0) {
             firstMillis = request.elapsedMillis(System.nanoTime());
         }
+        signals.eventsArrived(System.nanoTime());
         assignment.responseStarted();
         startStallTimer(StallLimits.betweenEvents(request.route()));
     }
@@ -222,7 +228,7 @@
         if (from != response || isFinished) {
             return;
         }
-        assignment.target().failureHistory().recordSuccess();
+        signals.succeeded(System.nanoTime());
         context.crashes().answered(traits);
         from.deliver();
         finish(from.head().status(), "answered");
@@ -247,11 +253,14 @@
                                 .orElse(""));
         endAttempt();
         failedDependency.ifPresent(engine -> {
-            engine.failureHistory().recordNoResponse(System.nanoTime());
+            engine.recovery().recordNoResponse(System.nanoTime());
             excludedTargets.add(engine);
         });
         if (isNotRun) {
-            excludeUnless(failedDependency.isPresent(), target);
+            if (failedDependency.isEmpty()) {
+                signals.refused(System.nanoTime());
+                excludedTargets.add(target);
+            }
             retryOrElse(
                     () -> fail(Failure.of(ErrorKind.OVERLOADED)
                             .message("target " + target.instance().id() + " refused the request with status "
@@ -261,12 +270,12 @@
                     true);
             return;
         }
-        target.failureHistory().recordFailure();
+        signals.failed(System.nanoTime());
         mayHaveRun = true;
         retryOrElse(
                 () -> {
                     if (relay.hasStarted()) {
-                        fail(failureWithUnknownOutcome("the resumed stream failed"));
+                        fail(FailureResponder.unknownOutcome("the resumed stream failed"));
                     } else {
                         from.deliver();
                         finish(from.head().status(), "error response of the target passed on");
@@ -292,8 +301,8 @@
             return;
         }
         if (!sent) {
-            if (target.mayGetRequests(System.nanoTime())) {
-                target.failureHistory().recordNoResponse(System.nanoTime());
+            if (target.mayGetAssigned(System.nanoTime())) {
+                target.recovery().recordNoResponse(System.nanoTime());
             }
             connectFailures++;
             attempts--;
@@ -308,17 +317,17 @@
             }
             return;
         }
-        target.failureHistory().recordFailure();
+        signals.failed(System.nanoTime());
         context.crashes().attemptBroken(target, traits);
         mayHaveRun = true;
         excludedTargets.add(target);
-        retryOrElse(() -> fail(failureWithUnknownOutcome(message)), false);
+        retryOrElse(() -> fail(FailureResponder.unknownOutcome(message)), false);
     }
 
     /** Ends an attempt whose target does not respond, so that the memory reserved for it on other engines is freed. */
     private void targetUnresponsive(Assignment unresponsive) {
         if (unresponsive == assignment && response != null) {
-            unresponsive.target().failureHistory().recordNoResponse(System.nanoTime());
+            unresponsive.target().recovery().recordNoResponse(System.nanoTime());
             exchangeBroken(response, true, "the engine does not respond");
         }
     }
@@ -352,7 +361,7 @@
                 attempts,
                 "attempt.stalled",
                 "no progress; retrying at " + other.get().target().instance().id());
-        stalledTarget.failureHistory().recordNoResponse(System.nanoTime());
+        stalledTarget.recovery().recordNoResponse(System.nanoTime());
         context.crashes().attemptBroken(stalledTarget, traits);
         mayHaveRun = true;
         cancelExchange();
@@ -383,12 +392,6 @@
         return head.failedDependency().flatMap(context.targetAt()).filter(engine -> engine != assignment.target());
     }
 
-    private void excludeUnless(boolean isCausedByAnother, TargetRuntime target) {
-        if (!isCausedByAnother) {
-            excludedTargets.add(target);
-        }
-    }
-
     /** Returns whether route, progress and remaining time allow another attempt; the retry budget is not checked. */
     private boolean mayRetry(boolean isNotRun) {
         boolean isAllowed = (isNotRun && !mayHaveRun) || request.route().isRetryable();
@@ -457,20 +460,13 @@
         }
         Failure sent = failure;
         if (mayHaveRun && failure.outcome() == Outcome.NOT_RUN) {
-            sent = failureWithUnknownOutcome(failure.message());
+            sent = FailureResponder.unknownOutcome(failure.message());
         }
         context.metrics().count("failures;kind=" + failure.kind().code());
         FailureResponder.send(context.dialect(), sink, sent, request.remainingMillis(System.nanoTime()));
         finish(sent.kind().httpStatus(), sent.message());
     }
 
-    private static Failure failureWithUnknownOutcome(String message) {
-        return Failure.of(ErrorKind.TARGET_FAILED)
-                .message(message)
-                .outcome(Outcome.UNKNOWN)
-                .build();
-    }
-
     private void cancelExchange() {
         if (exchange != null) {
             exchange.cancel();
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -14,6 +14,7 @@
 import io.endiveshed.coordination.service.AccessPolicy;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.ServiceCatalog;
+import io.endiveshed.coordination.service.ServiceRule;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.GatewaySettings;
@@ -112,6 +113,7 @@
                 settings.bounds().contactWindow(),
                 log,
                 crashes::targetGone);
+        targets.whenAdded(new SlowStarts(this::isModelService, System::nanoTime, metrics, log)::added);
         this.backlogs = new EngineBacklogTracker(targets);
         this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
         this.peers = new PeerExchange(
@@ -304,6 +306,10 @@
         });
     }
 
+    private boolean isModelService(ServiceName service) {
+        return catalog.read().service(service).flatMap(ServiceRule::engineCosts).isPresent();
+    }
+
     private <T> FeedFollower<T> follower(
             String name, ObjectFeed<T> feed, FeedFollower.Pace pace, FeedFollower.Listener<T> listener) {
         return new FeedFollower<>(name, feed, pace, eras, loop, GatewayComponents::readClocks, log, listener);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PlainTargetPicker.java
@@ -40,7 +40,7 @@
         List<TargetRuntime> candidates = targets.usableOf(request.service().name());
         TargetRuntime best = cheapest(request, candidates, excluded, false, nowNanos);
         if (best == null) {
-            // All targets are in backoff; only a request can show that one of them has recovered.
+            // All targets are in backoff or ramping up; only a request can show that one of them has recovered.
             best = cheapest(request, candidates, excluded, true, nowNanos);
         }
         if (best == null) {
@@ -59,13 +59,13 @@
             AdmittedRequest request,
             List<TargetRuntime> candidates,
             Set<TargetRuntime> excluded,
-            boolean includesBackingOff,
+            boolean includesRecovering,
             long nowNanos) {
         TargetRuntime best = null;
         double lowestCost = Double.MAX_VALUE;
         for (TargetRuntime target : candidates) {
-            boolean isEligible = includesBackingOff || !target.failureHistory().isBackingOff(nowNanos);
-            if (excluded.contains(target) || !isEligible || !target.mayGetRequests(nowNanos)) {
+            boolean isEligible = includesRecovering || !target.failureHistory().isBackingOff(nowNanos);
+            if (excluded.contains(target) || !isEligible || !mayGet(target, includesRecovering, nowNanos)) {
                 continue;
             }
             double delayMillis =
@@ -82,6 +82,10 @@
         return best;
     }
 
+    private static boolean mayGet(TargetRuntime target, boolean includesRecovering, long nowNanos) {
+        return target.mayGetRequests(nowNanos) || (includesRecovering && target.isOnlyRampingUp(nowNanos));
+    }
+
     /** Assignment to a target that needs no resources beyond a place among the target's open requests. */
     private static final class PlainAssignment implements Assignment {
         private final TargetRuntime target;
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -5,6 +5,8 @@
 import io.endiveshed.coordination.availability.TargetStatus;
 import io.endiveshed.coordination.engine.EngineBacklog;
 import io.endiveshed.coordination.limit.TargetLimit;
+import io.endiveshed.coordination.pace.OpenWork;
+import io.endiveshed.coordination.pace.SpeedReference;
 import io.endiveshed.coordination.service.TargetFailureHistory;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.net.http.HttpClient;
@@ -14,7 +16,7 @@
 import java.util.function.Consumer;
 
 /**
- * State that this process keeps for one target: connections, number of open requests, backlog and recent failures.
+ * State that this process keeps for one target: connections, number of open requests, backlog and recovery.
  * Confined to one event loop.
  */
 final class TargetRuntime {
@@ -22,11 +24,11 @@
 
     private final HttpClient client;
     private final EngineBacklog backlog = new EngineBacklog();
-    private final TargetFailureHistory failureHistory = new TargetFailureHistory();
     private final TargetLimit limit;
     private final PauseGate pause = new PauseGate();
     private final List<RequestGate> gates = new ArrayList<>();
     private final Consumer<TargetRuntime> whenLeaving;
+    private TargetRecovery recovery;
     private TargetInstance instance;
     private boolean isUsable = true;
     private int openRequests;
@@ -41,6 +43,8 @@
         this.whenLeaving = whenLeaving;
         this.instance = instance;
         this.client = client;
+        this.recovery =
+                new TargetRecovery(instance.slots(), this::openWork, 1, new SpeedReference(), (cause, requests) -> {});
         gates.add(pause);
         gates.add(limit);
     }
@@ -76,7 +80,23 @@
     }
 
     TargetFailureHistory failureHistory() {
-        return failureHistory;
+        return recovery.failures();
+    }
+
+    /** Returns the slow start and the measured speed of this incarnation. */
+    TargetRecovery recovery() {
+        return recovery;
+    }
+
+    /** Replaces the state of a target that has had no request yet. */
+    void setRecovery(TargetRecovery initial) {
+        recovery = initial;
+    }
+
+    /** Returns the unfinished work on the target: of all entries on an engine, of this one on a plain service. */
+    OpenWork openWork(long nowNanos) {
+        int requests = Math.max(openRequests, backlog.tasks().size());
+        return new OpenWork(requests, backlog.prefillMillis(nowNanos));
     }
 
     /** Returns whether the target may get new requests. */
@@ -96,6 +116,11 @@
 
     /** Returns whether the target may get a request of this entry now; if not, why, and for how long. */
     TargetStatus status(long nowNanos) {
+        return statusOfAssigned(nowNanos).and(recovery.status(nowNanos));
+    }
+
+    /** Returns the status for a request that has been assigned to the target, and so counts in its slow start already. */
+    private TargetStatus statusOfAssigned(long nowNanos) {
         TargetStatus status = isUsable ? TargetStatus.AVAILABLE : LEAVING;
         for (RequestGate gate : gates) {
             status = status.and(gate.status(nowNanos));
@@ -108,9 +133,19 @@
         return status(nowNanos).isAvailable();
     }
 
+    /** Returns whether nothing but the slow start keeps requests away; pickers then use the target as the last choice. */
+    boolean isOnlyRampingUp(long nowNanos) {
+        return status(nowNanos).reason() == TargetStatus.Reason.RAMPING_UP;
+    }
+
+    /** Returns whether a request that has been assigned to the target may be written now. */
+    boolean mayGetAssigned(long nowNanos) {
+        return statusOfAssigned(nowNanos).isAvailable();
+    }
+
     /** Returns whether a request may be written to the target now; if so, it counts against all restrictions. */
     boolean tryAcquireRequest(long nowNanos) {
-        if (!mayGetRequests(nowNanos)) {
+        if (!mayGetAssigned(nowNanos)) {
             return false;
         }
         gates.forEach(gate -> gate.acquire(nowNanos));
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** The targets of all services, kept in step with the platform's list. Confined to one event loop. */
@@ -46,6 +47,8 @@
         }
     };
 
+    private BiConsumer<TargetRuntime, Boolean> whenAdded = (target, isInFirstList) -> {};
+    private boolean hasListed;
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
     /**
@@ -74,6 +77,11 @@
         this.whenGone = whenGone;
     }
 
+    /** Sets what is called with each target that is added, and whether it is in the first list that was read. */
+    void whenAdded(BiConsumer<TargetRuntime, Boolean> listener) {
+        whenAdded = listener;
+    }
+
     /** Returns the targets of a service that may get new requests, in an order that is the same in all entries. */
     List<TargetRuntime> usableOf(ServiceName service) {
         return usableByService.getOrDefault(service, List.of());
@@ -107,6 +115,7 @@
         batch.events().forEach(event -> event.value().ifPresent(targets::add));
         list.replaceAll(targets, System.nanoTime());
         updateRuntimes("list", batch.upTo());
+        hasListed = true;
     }
 
     @Override
@@ -170,6 +179,7 @@
                         limitOf(target),
                         this::markLeaving);
                 runtimesById.put(target.id(), runtime);
+                whenAdded.accept(runtime, !hasListed);
                 logChange("target.added", target, isUsable, cause, version);
             } else if (runtime.isUsable() != isUsable) {
                 logChange("target.changed", target, isUsable, cause, version);
