--- a/bench/src/main/java/io/endiveshed/bench/placement/SimulatedEngine.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/SimulatedEngine.java
@@ -3,6 +3,7 @@
 import io.endiveshed.coordination.engine.EngineCostModel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.DoubleUnaryOperator;
 
 /**
  * Simulated engine in virtual time that works in passes as {@link EngineCostModel} describes. Each pass first prefills
@@ -12,10 +13,17 @@
     private final EngineCostModel costModel;
     private final List<SimulatedStream> streams = new ArrayList<>();
     private final List<PrefillPart> parts = new ArrayList<>();
+    private final DoubleUnaryOperator slowdown;
     private double nowMillis;
 
     SimulatedEngine(EngineCostModel costModel) {
+        this(costModel, millis -> 1);
+    }
+
+    /** Creates an engine whose passes take longer by a factor that depends on the virtual time in milliseconds. */
+    SimulatedEngine(EngineCostModel costModel, DoubleUnaryOperator slowdown) {
         this.costModel = costModel;
+        this.slowdown = slowdown;
     }
 
     /**
@@ -51,7 +59,8 @@
                 nowMillis = untilMillis;
                 return;
             }
-            nowMillis += prefillOnePass() + (decoding.isEmpty() ? 0 : costModel.passMillis(decoding.size()));
+            double factor = slowdown.applyAsDouble(nowMillis);
+            nowMillis += factor * (prefillOnePass() + (decoding.isEmpty() ? 0 : costModel.passMillis(decoding.size())));
             for (SimulatedStream stream : decoding) {
                 stream.recordEvent(nowMillis);
             }
--- a/bench/src/main/java/io/endiveshed/bench/placement/SimulatedStream.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/SimulatedStream.java
@@ -44,6 +44,11 @@
         eventsLeft--;
     }
 
+    /** Returns the time of the last event in milliseconds, negative before the first one. */
+    double lastEventMillis() {
+        return lastEventMillis;
+    }
+
     boolean isComplete() {
         return eventsLeft <= 0;
     }
