--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param platform address of the platform's store
  * @param bounds time limits and retry budget set by the operator
  * @param regions regions of the failure domains, also of that of the instance if its region is set
+ * @param adaptiveSlowStart whether targets that start or recover get more requests only as their answers allow
  * @param responses limits of the responses of targets
  * @param clients limits of the requests of callers
  */
@@ -34,6 +35,7 @@
         InetSocketAddress platform,
         Bounds bounds,
         DomainRegions regions,
+        boolean adaptiveSlowStart,
         ResponseLimits responses,
         HttpServerLimits clients) {
     /**
--- a/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/GatewaySettingsFile.java
@@ -75,6 +75,7 @@
                 .orElseGet(GatewaySettings.ResponseLimits::defaults);
         HttpServerLimits clients =
                 root.section("clients").map(ClientLimits::read).orElseGet(ClientLimits::defaults);
+        boolean adaptiveSlowStart = root.booleanValue("adaptive-slow-start").orElse(false);
         root.reportUnknownKeys();
         if (!errors.isEmpty()) {
             return Optional.empty();
@@ -89,6 +90,7 @@
                 platform.orElseThrow(),
                 bounds.orElseThrow(),
                 new DomainRegions(regions),
+                adaptiveSlowStart,
                 responses,
                 clients));
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/TargetResponseHead.java
@@ -1,5 +1,6 @@
 package io.endiveshed.gateway;
 
+import io.endiveshed.coordination.pace.ReportedLoad;
 import io.endiveshed.coordination.service.Endpoint;
 import java.time.Duration;
 import java.util.Optional;
@@ -17,6 +18,7 @@
  * @param requestsPerSecond requests a second that the target takes from all entries together; empty if it names no limit
  * @param coldRemainingMillis time in milliseconds for which the target remains cold; empty if it does not say so
  * @param failedDependency address of the engine that the target names as the cause of the failure
+ * @param load load that the target reports; empty if it reports none
  */
 public record TargetResponseHead(
         int status,
@@ -26,7 +28,8 @@
         Optional<Duration> pause,
         OptionalDouble requestsPerSecond,
         OptionalLong coldRemainingMillis,
-        Optional<Endpoint> failedDependency) {
+        Optional<Endpoint> failedDependency,
+        Optional<ReportedLoad> load) {
     private static final int MISDIRECTED_REQUEST = 421;
 
     /** Returns whether another target has taken over the address, so that the response says nothing of this one. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -16,6 +16,7 @@
 import io.endiveshed.coordination.service.AccessPolicy;
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.ServiceCatalog;
+import io.endiveshed.coordination.service.ServiceRule;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.gateway.EntryRecord;
 import io.endiveshed.gateway.GatewaySettings;
@@ -123,6 +124,10 @@
                 crashes::targetGone);
         this.evacuations = new EvacuationMonitor(new EvacuatedDomains(), loop, System::nanoTime, metrics, log);
         targets.whenAdded(target -> target.addGate(evacuations.gate(target)));
+        if (settings.adaptiveSlowStart()) {
+            SlowStarts slowStarts = new SlowStarts(this::isModelService, System::nanoTime, metrics, log);
+            targets.whenAdded(target -> slowStarts.added(target, !targets.isListed()));
+        }
         this.backlogs = new EngineBacklogTracker(targets);
         this.limits = new RequestLimits(self.instance(), targets, System::nanoTime, metrics, log);
         this.cold = new ColdTargets(
@@ -344,6 +349,10 @@
         });
     }
 
+    private boolean isModelService(ServiceName service) {
+        return catalog.read().service(service).flatMap(ServiceRule::engineCosts).isPresent();
+    }
+
     private <T> FeedFollower<T> follower(
             String name, ObjectFeed<T> feed, FeedFollower.Pace pace, FeedFollower.Listener<T> listener) {
         return new FeedFollower<>(
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -94,6 +94,11 @@
         whenAdded = whenAdded.andThen(action);
     }
 
+    /** Returns whether this entry has read the list of targets. */
+    boolean isListed() {
+        return isListed;
+    }
+
     /** Returns the failure domains of all targets, usable or not. */
     Set<FailureDomain> domains() {
         return runtimesById.values().stream()
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -323,6 +323,7 @@
                     Optional.empty(),
                     OptionalDouble.empty(),
                     OptionalLong.empty(),
+                    Optional.empty(),
                     Optional.empty());
         }
 
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/RequestLimitsTest.java
@@ -183,6 +183,7 @@
                 Optional.empty(),
                 requestsPerSecond,
                 OptionalLong.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 }
