Test that told content is not replaced by older content

The own watch of an entry starts before the changes that others have told it. The simulation drops a counter that nothing reads.

--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
@@ -44,6 +44,23 @@
         }
     }
 
+    /** Guards against the answer to a watch that replaces what another entry has told meanwhile by older content. */
+    @Test
+    void contentNeverGoesBack() {
+        SharingSimulation simulation = started(14, 1);
+        for (int i = 0; i < 400; i++) {
+            simulation.stores.get(simulation.random.nextInt(2)).put("object-" + simulation.random.nextInt(3));
+            simulation.run(simulation.random.nextInt(200));
+            if (i % 20 == 0) {
+                readers(simulation).forEach(reader -> reader.freeze(2_500));
+            }
+        }
+        for (SharingSimulation.Entry entry : simulation.entries) {
+            assertThat(entry.known.get(0).regressions + entry.known.get(1).regressions)
+                    .isEqualTo(0);
+        }
+    }
+
     private static void disturb(SharingSimulation simulation) {
         List<SharingSimulation.Entry> entries = simulation.entries;
         SharingSimulation.Entry entry = entries.get(simulation.random.nextInt(entries.size()));
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/SharingSimulation.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/SharingSimulation.java
@@ -16,6 +16,7 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -51,11 +52,11 @@
     final List<Entry> entries = new ArrayList<>();
     final List<Store> stores = List.of(new Store(), new Store());
     private final boolean isShared;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
     private long eventCount;
     long nowMillis = 1_000_000;
     long calls;
-    long datagrams;
     long datagramBytes;
     long maxNetworkDelayMillis = 2;
     boolean isStoreDown;
@@ -71,7 +72,6 @@
     /** Restarts the counters of calls, datagrams and delays. */
     void resetCounts() {
         calls = 0;
-        datagrams = 0;
         datagramBytes = 0;
         entries.forEach(entry -> {
             entry.maxAgeMillis = new long[2];
@@ -122,14 +122,7 @@
         return worst;
     }
 
-    private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return atMillis != other.atMillis
-                    ? Long.compare(atMillis, other.atMillis)
-                    : Long.compare(number, other.number);
-        }
-    }
+    private record Event(long atMillis, long number, Runnable action) {}
 
     /** Objects of one kind with all their changes. */
     final class Store {
@@ -195,6 +188,7 @@
     static final class Known implements FeedFollower.Listener<String> {
         final Map<String, Long> content = new HashMap<>();
         private int seen;
+        int regressions;
 
         @Override
         public void listed(FeedBatch<String> batch) {
@@ -204,7 +198,10 @@
 
         @Override
         public void changed(FeedBatch<String> batch) {
-            batch.events().forEach(event -> content.put(event.name(), event.version()));
+            for (FeedEvent<String> event : batch.events()) {
+                Long before = content.put(event.name(), event.version());
+                regressions += before != null && before > event.version() ? 1 : 0;
+            }
         }
 
         @Override
@@ -324,7 +321,6 @@
 
         private void send(InstanceId receiver, SharingMessage message) {
             byte[] bytes = PeerCodec.sharing(new PeerCodec.PeerIncarnation(id, 1), message);
-            datagrams++;
             datagramBytes += bytes.length;
             SharingMessage read = PeerCodec.read(bytes).orElseThrow().sharing().orElseThrow();
             for (Entry other : entries) {
