--- a/bench/src/main/java/io/endiveshed/bench/placement/RecoverySimulation.java
+++ b/bench/src/main/java/io/endiveshed/bench/placement/RecoverySimulation.java
@@ -290,7 +290,7 @@
                     usable.stream().filter(view -> view.isOpen(nowNanos())).toList();
             IdentityHashMap<EngineCandidate, RecoveryView> viewsByCandidate = new IdentityHashMap<>();
             EnginePlacement placement = placement(request, open, viewsByCandidate);
-            if (placement == null && policy.yields && open.size() < usable.size()) {
+            if (open.isEmpty() && policy.yields) {
                 placement = placement(request, usable, viewsByCandidate);
             }
             if (placement == null) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EnginePicker.java
@@ -81,30 +81,19 @@
         PromptRequest prompt = promptRequest(request, waitingSinceNanos, nowNanos);
         IdentityHashMap<EngineCandidate, TargetRuntime> runtimes = new IdentityHashMap<>();
         List<EngineCandidate> candidates = candidates(request, excluded, false, nowNanos, runtimes);
-        Either<Long, EnginePlacement> placed = place(costs, prompt, candidates, nowNanos);
-        if (placed.isLeft()) {
-            // Engines that ramp up serve a prompt sooner than its caller would come back.
-            List<EngineCandidate> others = candidates(request, excluded, true, nowNanos, runtimes);
-            if (others.size() > candidates.size()) {
-                candidates = others;
-                placed = place(costs, prompt, candidates, nowNanos);
-            }
+        if (candidates.isEmpty()) {
+            // Only requests can show that engines which ramp up bear more.
+            candidates = candidates(request, excluded, true, nowNanos, runtimes);
         }
         if (candidates.isEmpty()) {
             ServiceName service = request.service().name();
             TargetPauses pauses = TargetPauses.of(service, targets.usableOf(service), nowNanos);
             return refuse(pauses.reason(), pauses.retryAfter().orElse(NO_ENGINE_RETRY_DELAY));
         }
-        return placed.fold(
-                waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
-                placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
-    }
-
-    private Either<Long, EnginePlacement> place(
-            EngineCostModel costs, PromptRequest prompt, List<EngineCandidate> candidates, long nowNanos) {
-        return candidates.isEmpty()
-                ? Either.left(0L)
-                : placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos);
+        return placer.place(costs, prompt, candidates, backlogs.longPrefillShare(candidates.size()), nowNanos)
+                .fold(
+                        waitMillis -> refuse("all engines are busy", Duration.ofMillis(waitMillis)),
+                        placement -> Either.right(assign(request, costs, prompt, placement, runtimes, nowNanos)));
     }
 
     /** Returns the eligible engines in the common order, and adds the runtime of each to the map. */
