--- a/coordination/src/main/java/io/endiveshed/coordination/availability/PauseGate.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/availability/PauseGate.java
@@ -8,7 +8,7 @@
     private long pausedNanos;
     private long pauseMillis;
 
-    /** Records that the target wants no requests for some time; a shorter time does not end a longer one. */
+    /** Records that the target asks for a back-off; a shorter time does not end a longer one. */
     public void pause(Duration duration, long nowNanos) {
         pauseMillis = Math.max(remainingMillis(nowNanos), duration.toMillis());
         pausedNanos = nowNanos;
--- a/coordination/src/main/java/io/endiveshed/coordination/evacuation/EvacuatedDomains.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/evacuation/EvacuatedDomains.java
@@ -12,7 +12,7 @@
  * The failure domains that the operator has evacuated. What was read last stays in force until something newer is read.
  * Confined to one thread; times are those of a monotonic clock in nanoseconds.
  *
- * <p>The store may come back from a copy that is some seconds old. An evacuation that only the copy lacks stays in force
+ * <p>The store may be restored from a backup that is some seconds old. An evacuation that only the copy lacks stays in force
  * until it is lifted, or for a while if nobody writes it again. One that was lifted and that the copy shows takes effect
  * if it is written again, or is still there when the operator has had the time to delete it.
  *
@@ -65,7 +65,7 @@
         return Set.copyOf(evacuated);
     }
 
-    /** Records that the store has come back from an older copy; the next list may be that of the copy. */
+    /** Records that the store was restored from a backup; the next list may be that of the backup. */
     public void storeRestored() {
         isRestored = true;
     }
@@ -118,7 +118,7 @@
                 .min();
     }
 
-    /** Ends the evacuations and the doubts whose time is over. */
+    /** Ends the evacuations, and the unconfirmed ones, whose time is over. */
     public void expire(long nowNanos) {
         heldUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
         doubtedUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/ColdNotice.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/ColdNotice.java
@@ -3,7 +3,7 @@
 import io.endiveshed.base.id.InstanceId;
 
 /**
- * What one entry tells the others of a cold target.
+ * What one entry reports to its peers about a cold target.
  *
  * @param target id of the target
  * @param startedMillis Unix time of the target's start in milliseconds, 0 if unknown
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/ColdShare.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/ColdShare.java
@@ -11,7 +11,7 @@
  * sends at most one request in any second, so as many entries can share as requests are allowed in a second, and their
  * sum is exact.
  *
- * <p>Two groups of entries that know nothing of each other may both divide the whole, so each divides less than half of
+ * <p>Two groups of entries that are partitioned from each other may both divide the whole, so each divides less than half of
  * what the operator accepts. With 28 requests a second, an overshoot of 1.5 and an allowance of 5, 47 requests are
  * accepted in a second; 22 entries send one in 1.1 s each, and two groups send 44.
  *
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/ColdStartGate.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/ColdStartGate.java
@@ -15,7 +15,7 @@
  * Keeps the requests to one incarnation of a target within this entry's share while the target is cold. Confined to one
  * thread; times are those of a monotonic clock in nanoseconds.
  *
- * <p>A target is cold until the latest of the ends that its sources tell. Each is counted from when it was read, which is
+ * <p>A target is cold until the latest of the ends that its sources give. Each is counted from when it was read, which is
  * not before it was written. Requests are counted while the target is warm too, as it may become cold at any time.
  *
  * <pre>{@code
@@ -104,7 +104,7 @@
         startNanos = Optional.of(startNanos.orElse(nowNanos));
     }
 
-    /** Records for how many milliseconds the target remains cold according to another entry. */
+    /** Records for how many milliseconds the target remains cold according to a peer. */
     public void learn(long remainingMillis, long nowNanos) {
         extend(Source.OTHER_ENTRY, remainingMillis, nowNanos);
     }
@@ -186,7 +186,7 @@
         return toMillis(own);
     }
 
-    /** Returns the source that tells the longest time. */
+    /** Returns the source that gives the longest time. */
     public Source source(long nowNanos) {
         Source longest = Source.STORE;
         for (Source source : Source.values()) {
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/LimitShare.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/LimitShare.java
@@ -10,7 +10,7 @@
  * others send nothing. With hundreds of entries, one request of each would exceed most limits. Entries that come or go
  * change the ranking of few others.
  *
- * <p>Two groups of entries that know nothing of each other may both divide the whole limit. The constants are chosen so
+ * <p>Two groups of entries that are partitioned from each other may both divide the whole limit. The constants are chosen so
  * that even their sum stays within what the operator accepts.
  *
  * <pre>{@code
--- a/coordination/src/main/java/io/endiveshed/coordination/limit/SharingEntries.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/limit/SharingEntries.java
@@ -16,11 +16,11 @@
  * }</pre>
  *
  * @param entries the entries; none if this entry has no means to know of the others
- * @param isMajority whether this entry hears more than half of the listed entries
+ * @param isMajority whether this entry receives heartbeats from more than half of the listed entries
  * @param hasContact whether this entry has contact with the store or with another entry
  */
 public record SharingEntries(Set<InstanceId> entries, boolean isMajority, boolean hasContact) {
-    /** Selection of an entry that knows nothing yet. */
+    /** Selection of an entry that has no contact yet. */
     public static final SharingEntries NONE = new SharingEntries(Set.of(), false, false);
 
     public SharingEntries {
--- a/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStart.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/pace/SlowStart.java
@@ -51,7 +51,7 @@
      * @param slots number of requests that the target runs at once
      * @param openWork returns the unfinished work on the target at a time in nanoseconds
      * @param initialRequests requests that the target may have open at the begin
-     * @param listener told of each change of the limit
+     * @param listener notified of each change of the limit
      */
     public SlowStart(int slots, LongFunction<OpenWork> openWork, int initialRequests, ChangeListener listener) {
         this.slots = slots;
@@ -180,7 +180,7 @@
         listener.changed(cause, requestLimit());
     }
 
-    /** Is told of changes of the limit. */
+    /** Is notified of changes of the limit. */
     @FunctionalInterface
     public interface ChangeListener {
         /**
--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/FeedChanges.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/FeedChanges.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * Changes of a feed that an entry tells others, so that they need not read them from the store.
+ * Changes of a feed that an entry sends to its peers, so that they need not read them from the store.
  *
  * @param feed name of the feed
  * @param era number of the era of the store
--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/FeedReport.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/FeedReport.java
@@ -3,7 +3,7 @@
 import java.util.OptionalLong;
 
 /**
- * What an entry that reads a feed of the store tells the others of its failure domain.
+ * What an entry that reads a feed of the store reports to its peers in the failure domain.
  *
  * @param feed name of the feed
  * @param era number of the era of the store
--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
@@ -10,7 +10,7 @@
 import java.util.OptionalLong;
 
 /**
- * Decides for one feed of the store when an entry may rely on others that read it, and what it tells them. Confined to
+ * Decides for one feed of the store when an entry may rely on others that read it, and what it reports to them. Confined to
  * one thread.
  *
  * <p>Another entry that holds the same objects confirms them as of the time of the question that it answers, less the
@@ -27,7 +27,7 @@
  * }</pre>
  */
 public final class SharedFeed {
-    /** Maximum number of changes that are kept to be told; those of about two watches of a busy fleet. */
+    /** Maximum number of changes that are kept to be sent; those of about two watches of a busy fleet. */
     private static final int MAX_CHANGES = 64;
 
     private final String name;
@@ -93,7 +93,7 @@
         }
     }
 
-    /** Returns the latest changes, of which others may know the first; none if there are none that can be told. */
+    /** Returns the latest changes, of which peers may know the first; none if there are none that can be sent. */
     public Optional<FeedChanges> changes() {
         return changes.isEmpty()
                 ? Optional.empty()
@@ -144,7 +144,7 @@
     /**
      * Considers the report of another entry.
      *
-     * @param report what the other entry tells
+     * @param report what the other entry reports
      * @param asked time at which the question was sent that the report answers
      * @param now current time
      * @param canBeConfirmed whether all that was read is in force and is not from an older copy of the store
@@ -177,7 +177,7 @@
     }
 
     /**
-     * Returns what this entry tells others; empty if it knows no objects or not all versions.
+     * Returns what this entry reports to its peers; empty if it knows no objects or not all versions.
      *
      * @param outage start of the last failed call of a recent outage that has ended; never if there was none
      * @param now current time
--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/SharingPeers.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/SharingPeers.java
@@ -55,7 +55,7 @@
     /**
      * Returns the questions to send now.
      *
-     * @param reachable other entries of the failure domain that were heard of recently
+     * @param reachable other entries of the failure domain from which a heartbeat was received recently
      * @param canReadStore whether the store answers this entry
      */
     public List<Question> questions(Collection<InstanceId> reachable, boolean canReadStore, ClockReading now) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ColdNotices.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ColdNotices.java
@@ -4,9 +4,9 @@
 import io.endiveshed.coordination.limit.ColdNotice;
 import java.util.List;
 
-/** What entries tell each other of cold targets. */
+/** What entries report to each other about cold targets. */
 interface ColdNotices {
-    /** Tells nothing and ignores what it receives. */
+    /** Reports nothing and ignores what it receives. */
     ColdNotices NONE = new ColdNotices() {
         @Override
         public List<ColdNotice> toTell() {
@@ -20,6 +20,6 @@
     /** Returns the cold targets that this entry has read of, the most important first. */
     List<ColdNotice> toTell();
 
-    /** Called when another entry tells that a target is cold; it repeats what it knows. */
+    /** Called when a peer reports that a target is cold; it repeats what it knows. */
     void coldElsewhere(InstanceId entry, ColdNotice notice);
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ColdTargets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ColdTargets.java
@@ -23,7 +23,7 @@
 import java.util.function.LongSupplier;
 
 /**
- * Keeps the gates of cold targets up to date: what the entry reads and is told of them, and its share of their rates.
+ * Keeps the gates of cold targets up to date: what the entry reads and its peers report, and its share of their rates.
  * Confined to one event loop.
  */
 final class ColdTargets implements ColdNotices {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -131,12 +131,12 @@
         return isStoreLost;
     }
 
-    /** Returns what this entry tells others of the feed. */
+    /** Returns what this entry reports to its peers of the feed. */
     Optional<FeedReport> report(ClockReading now) {
         return share.report(now);
     }
 
-    /** Considers what another entry tells in answer to a question that was sent at the given time. */
+    /** Considers what a peer reports in answer to a question that was sent at the given time. */
     SharedFeed.Verdict receive(FeedReport report, ClockReading asked) {
         ClockReading now = clock.get();
         if (!isStoreLost) {
@@ -179,7 +179,7 @@
 
     /**
      * Lets this feed find out for others when the store answers again. All feeds of an entry lose the store together, and
-     * each call is paid for, so the probes of every feed would cost several times as much and tell nothing more.
+     * each call is paid for, so the probes of every feed would cost several times as much and show nothing more.
      */
     void probeFor(List<FeedFollower<?>> others) {
         dependents.addAll(others);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
@@ -17,7 +17,7 @@
 
 /** Part that one follower takes in the sharing of feeds; without sharing it leaves the follower to its own pace. */
 final class FeedShare {
-    /** Time for which the end of an outage is told to others; targets write their entries again well within it. */
+    /** Time for which the end of an outage is reported to peers; targets write their entries again well within it. */
     private static final long MAX_TOLD_OUTAGE_MILLIS = 10_000;
 
     /** Difference in milliseconds up to which two entries mean the same outage. */
@@ -77,7 +77,7 @@
         confirmed.ifPresent(feed::confirmed);
         if (confirmed.isPresent() || !batch.events().isEmpty()) {
             // What was read right after an outage may lack objects that are written again soon; others read it
-            // themselves, after they have been told of the outage.
+            // themselves, after they have been notified of the outage.
             boolean canTell =
                     confirmed.isPresent() && !isList && lastOutage.ageMillis(confirmed.get()) > MAX_TOLD_OUTAGE_MILLIS;
             sharing.get()
@@ -107,14 +107,14 @@
         return new FeedBatch<>(areAllDecoded ? events : List.of(), told.version(), new StoreEra(told.era()));
     }
 
-    /** Records changes that another entry has told and that are in force now. */
+    /** Records changes that a peer has sent and that are in force now. */
     void told(FeedBatch<?> batch) {
         record(batch);
         wasTold = true;
     }
 
     /**
-     * Returns the changes of a watch without those that another entry has told since the last call. The watch starts
+     * Returns the changes of a watch without those that a peer has sent since the last call. The watch starts
      * before them, and would replace newer content by older content for a moment.
      */
     <T> FeedBatch<T> withoutTold(FeedBatch<T> batch) {
@@ -138,7 +138,7 @@
         return feed.limits().maxAgeMillis() / 2;
     }
 
-    /** Returns what this entry tells others of the feed. */
+    /** Returns what this entry reports to its peers of the feed. */
     Optional<FeedReport> report(ClockReading now) {
         boolean isRecent = lastOutage.ageMillis(now) <= MAX_TOLD_OUTAGE_MILLIS;
         return feed.report(isRecent ? lastOutage : Freshness.NEVER, now);
@@ -160,7 +160,7 @@
     }
 
     /**
-     * Returns the start of the last failed call of an outage that another entry tells of, if it is not known here; this
+     * Returns the start of the last failed call of an outage that a peer reports, if it is not known here; this
      * entry may have made no call meanwhile.
      */
     Optional<ClockReading> newOutage(FeedReport report, ClockReading asked, ClockReading now) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedSharing.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedSharing.java
@@ -114,7 +114,7 @@
     }
 
     /**
-     * Tells the entries that ask what this one knows, after a feed has changed or was confirmed by the store.
+     * Answers the entries that ask with what this one knows, after a feed has changed or was confirmed by the store.
      *
      * @param changes latest changes of that feed
      * @param newCount number of the last ones that were just read
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/PeerExchange.java
@@ -89,7 +89,7 @@
         this.whenUnlisted = whenUnlisted;
     }
 
-    /** Sets what is told of cold targets, and what receives it. */
+    /** Sets what is reported about cold targets, and what receives it. */
     void shareCold(ColdNotices notices) {
         coldNotices = notices;
     }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/SharingCodec.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/SharingCodec.java
@@ -26,7 +26,7 @@
     /** Stands for an age that is not known. */
     private static final long NO_AGE = -1;
 
-    /** Maximum age in milliseconds that is told, a day; it is far beyond each limit. */
+    /** Maximum age in milliseconds that is reported, a day; it is far beyond each limit. */
     private static final long MAX_AGE_MILLIS = 86_400_000;
 
     /** Changes of an answer that has none. */
@@ -38,7 +38,7 @@
      */
     static final int MAX_CHANGES_BYTES = 8 * 1024;
 
-    /** Maximum number of changes that most receivers know; another reader may have told them of some of the new ones. */
+    /** Maximum number of changes that most receivers know; another reader may have sent them some of the new ones. */
     private static final int MAX_KNOWN_CHANGES = 16;
 
     /** Maximum size of changes in bytes before they are compressed; bounds the memory that a datagram can take. */
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetPauses.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetPauses.java
@@ -47,7 +47,7 @@
     }
 
     /**
-     * Returns the delay after which a refused caller is told to return. While targets of the service are evacuated, many
+     * Returns the delay after which a refused caller is asked to return. While targets of the service are evacuated, many
      * callers are refused at the same moment; their returns are spread over the time that each of them accepts.
      */
     static Duration retryDelay(Duration delay, AdmittedRequest request, List<TargetRuntime> targets, long nowNanos) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRecovery.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRecovery.java
@@ -32,7 +32,7 @@
      * @param openWork returns the unfinished work on the target at a time in nanoseconds
      * @param initialRequests requests that the target may have open when a slow start begins
      * @param reference typical speed of the targets of its service
-     * @param listener told of each change of the slow start
+     * @param listener notified of each change of the slow start
      */
     TargetRecovery(
             int slots,
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/TargetRuntime.java
@@ -117,7 +117,7 @@
         return isUsable;
     }
 
-    /** Records that the target wants no requests for some time; a shorter time does not end a longer one. */
+    /** Records that the target asks for a back-off; a shorter time does not end a longer one. */
     void pause(Duration duration, long nowNanos) {
         pause.pause(duration, nowNanos);
     }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ServerConnection.java
@@ -360,7 +360,10 @@
         }
     }
 
-    /** Closes the connection, whose memory is needed for others; an incomplete request is told that it has not run. */
+    /**
+     * Closes the connection, whose memory is needed for others; the answer to an incomplete request says that it has not
+     * run.
+     */
     private void drop(ChannelHandlerContext ctx, Kind shortage) {
         serverContext.reportDropped(shortage, memory.address());
         boolean isIncomplete = !rejected && !closing && (request != null || hasHeaderPart);
