Log and count the responses that belong to no request

Nothing in the logs tells whether a target writes copies, whether they name a request, or on which connection they arrive; the three hypotheses look alike.

Change: response.discarded and gateway.responses_discarded for each response of a target that is not passed on, with the request that uses the connection or was the last to use it, the request that the response names, the reason, and how many requests the connection has carried. request.done has connection_requests as well, so that a first use can be told from a later one. No response is treated differently.

--- a/gateway/src/main/java/io/endiveshed/gateway/RequestDialect.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/RequestDialect.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Reads and writes the HTTP header fields of a platform, in requests and responses between callers, entries and
@@ -19,6 +20,9 @@
     /** Returns the header fields of a request that is forwarded to a target. */
     List<Header> targetHeaders(CallerRequest request, ForwardingOptions options);
 
+    /** Returns the id of the request to which a response with these header fields says that it belongs. */
+    Optional<String> namedRequest(List<Header> responseHeaders);
+
     /** Returns whether a response with these header fields belongs to the request with the given id. */
     ResponseOwner responseOwner(String requestId, List<Header> responseHeaders);
 
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -174,6 +174,7 @@
                 context.responseMemory());
         TargetResponse current = response;
         ExchangeOptions options = ExchangeOptions.builder()
+                .label(request.caller().id())
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
                 .condition(() -> reasonNotToSend().isEmpty()
@@ -512,7 +513,8 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        log.requestDone(status, reason, assignment, attempts, firstMillis);
+        int connectionRequests = exchange == null ? 0 : exchange.connectionRequests();
+        log.requestDone(status, reason, assignment, attempts, connectionRequests, firstMillis);
         whenFinished.run();
     }
 }
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -122,6 +122,7 @@
                 settings.bounds().contactWindow(),
                 log,
                 crashes::targetGone);
+        targets.whenDiscarded(new DiscardedResponses(dialect, metrics, log)::record);
         this.evacuations = new EvacuationMonitor(new EvacuatedDomains(), loop, System::nanoTime, metrics, log);
         targets.whenAdded(target -> target.addGate(evacuations.gate(target)));
         if (settings.adaptiveSlowStart()) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/RequestLog.java
@@ -72,9 +72,16 @@
      * @param reason why the request ended with this status
      * @param assignment assignment of the last attempt; null if there was none
      * @param attempts number of attempts
+     * @param connectionRequests number of requests that have used the connection of the response; 0 if there is none
      * @param firstMillis time until the first event of a stream in milliseconds; negative if there was none
      */
-    void requestDone(int status, String reason, Assignment assignment, int attempts, double firstMillis) {
+    void requestDone(
+            int status,
+            String reason,
+            Assignment assignment,
+            int attempts,
+            int connectionRequests,
+            double firstMillis) {
         double totalMillis = request.elapsedMillis(System.nanoTime());
         context.metrics()
                 .recordResponse(request.account(), request.service().name().value(), status, firstMillis, totalMillis);
@@ -93,6 +100,7 @@
                         assignment == null
                                 ? "none"
                                 : assignment.target().instance().id())
+                .with("connection_requests", connectionRequests)
                 .with("helpers", assignment == null ? 0 : assignment.helpers().size())
                 .with("helper_addresses", assignment == null ? "none" : helperAddresses(assignment))
                 .with("predicted_ms", assignment == null ? 0 : (long) assignment.predictedMillis())
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/Targets.java
@@ -11,6 +11,7 @@
 import io.endiveshed.coordination.service.Endpoint;
 import io.endiveshed.coordination.service.TargetInstance;
 import io.endiveshed.coordination.service.TargetList;
+import io.endiveshed.net.http.DiscardedResponse;
 import io.endiveshed.net.http.HttpClient;
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.ports.platform.FeedBatch;
@@ -27,6 +28,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -54,6 +56,7 @@
 
     private Function<ServiceName, ColdStart> coldStarts = service -> ColdStart.NONE;
     private Consumer<TargetRuntime> whenAdded = added -> {};
+    private BiConsumer<TargetInstance, DiscardedResponse> whenDiscarded = (target, response) -> {};
     private boolean isListed;
     private Map<ServiceName, List<TargetRuntime>> usableByService = Map.of();
 
@@ -94,6 +97,11 @@
         whenAdded = whenAdded.andThen(action);
     }
 
+    /** Sets an action for each response of a target that belongs to no request; must be called before the first target. */
+    void whenDiscarded(BiConsumer<TargetInstance, DiscardedResponse> action) {
+        whenDiscarded = action;
+    }
+
     /** Returns whether this entry has read the list of targets. */
     boolean isListed() {
         return isListed;
@@ -215,7 +223,11 @@
                 Restrictions restrictions = restrictionsOf(target);
                 runtime = new TargetRuntime(
                         target,
-                        new HttpClient(loops, target.endpoint().socketAddress(), clientOptions),
+                        new HttpClient(
+                                loops,
+                                target.endpoint().socketAddress(),
+                                clientOptions,
+                                response -> whenDiscarded.accept(target, response)),
                         restrictions.limit,
                         restrictions.cold,
                         this::markLeaving);
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -308,6 +308,11 @@
             return List.of();
         }
 
+        @Override
+        public Optional<String> namedRequest(List<Header> responseHeaders) {
+            return Optional.empty();
+        }
+
         @Override
         public ResponseOwner responseOwner(String requestId, List<Header> responseHeaders) {
             return ResponseOwner.CURRENT_REQUEST;
--- /dev/null
+++ b/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
@@ -0,0 +1,31 @@
+package io.endiveshed.net.http;
+
+import io.endiveshed.protocol.Header;
+import java.util.List;
+
+/**
+ * Response of a server that was not passed to the listener of a request.
+ *
+ * @param reason why it was discarded
+ * @param status HTTP status; without meaning if the response is malformed
+ * @param headers header fields, as far as they were parsed
+ * @param request label of the request that uses the connection, or of the last one that did; empty if there was none
+ * @param connectionRequests number of requests that have used the connection
+ */
+public record DiscardedResponse(
+        Reason reason, int status, List<Header> headers, String request, int connectionRequests) {
+    /** Reasons to discard a response. */
+    public enum Reason {
+        /** The response names another request than the one that uses the connection. */
+        OTHER_REQUEST,
+
+        /** The response names no request and arrived on a connection that several requests have used. */
+        NAMES_NO_REQUEST,
+
+        /** No request uses the connection. */
+        NO_REQUEST_IN_PROGRESS,
+
+        /** The bytes are no HTTP response. */
+        MALFORMED
+    }
+}
--- a/net/src/main/java/io/endiveshed/net/http/ExchangeOptions.java
+++ b/net/src/main/java/io/endiveshed/net/http/ExchangeOptions.java
@@ -18,11 +18,13 @@
 public final class ExchangeOptions {
     private static final ExchangeOptions DEFAULTS = builder().build();
 
+    private final String label;
     private final Function<List<Header>, ResponseOwner> responseOwner;
     private final BooleanSupplier condition;
     private final boolean isOnNewConnection;
 
     private ExchangeOptions(Builder builder) {
+        label = builder.label;
         responseOwner = builder.responseOwner;
         condition = builder.condition;
         isOnNewConnection = builder.isOnNewConnection;
@@ -37,6 +39,10 @@
         return new Builder();
     }
 
+    String label() {
+        return label;
+    }
+
     Function<List<Header>, ResponseOwner> responseOwner() {
         return responseOwner;
     }
@@ -51,12 +57,19 @@
 
     /** Builds options. */
     public static final class Builder {
+        private String label = "";
         private Function<List<Header>, ResponseOwner> responseOwner = headers -> ResponseOwner.CURRENT_REQUEST;
         private BooleanSupplier condition = () -> true;
         private boolean isOnNewConnection;
 
         private Builder() {}
 
+        /** Sets the name of the request in reports on discarded responses of its connection. */
+        public Builder label(String value) {
+            label = value;
+            return this;
+        }
+
         /** Sets how to find out from its header fields to which request a response belongs. */
         public Builder responseOwner(Function<List<Header>, ResponseOwner> value) {
             responseOwner = value;
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.Consumer;
 
 /**
  * HTTP client for one address that reuses connections. Safe for use by several threads.
@@ -58,6 +59,22 @@
 
     /** Creates a client with options for its connections. */
     public HttpClient(EventLoopGroup loops, InetSocketAddress address, HttpClientOptions options) {
+        this(loops, address, options, discarded -> {});
+    }
+
+    /**
+     * Creates a client with options for its connections.
+     *
+     * @param loops event loops of the connections
+     * @param address address of the server
+     * @param options options of the connections
+     * @param whenDiscarded called on a connection's event loop with each response that belongs to no request
+     */
+    public HttpClient(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            HttpClientOptions options,
+            Consumer<DiscardedResponse> whenDiscarded) {
         this.address = address;
         this.options = options;
         this.bootstrap = new Bootstrap()
@@ -77,7 +94,7 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientConnection connection = new ClientConnection(options);
+                        ClientConnection connection = new ClientConnection(options, whenDiscarded);
                         channel.pipeline()
                                 .addLast(new BytesArrivedHandler(
                                         bytes -> connection.onBytesArrived(bytes.readableBytes())))
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -24,6 +24,7 @@
     private ClientConnection connection;
     private boolean cancelled;
     private boolean paused;
+    private volatile int connectionRequests;
 
     HttpExchange(
             HttpClient client,
@@ -66,6 +67,11 @@
         }
     }
 
+    /** Returns the number of requests that had used the connection when this one was sent, with this one; 0 before. */
+    public int connectionRequests() {
+        return connectionRequests;
+    }
+
     boolean needsNewConnection() {
         return options.isOnNewConnection();
     }
@@ -100,7 +106,8 @@
             listener.failed(false, "the request was cancelled before it was sent");
             return;
         }
-        acquired.begin(listener, options.responseOwner(), reusable -> release(acquired, reusable));
+        connectionRequests = acquired.requests() + 1;
+        acquired.begin(listener, options.label(), options.responseOwner(), reusable -> release(acquired, reusable));
         acquired.write(buildRequest());
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -1,5 +1,6 @@
 package io.endiveshed.net.http.internal;
 
+import io.endiveshed.net.http.DiscardedResponse;
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpResponseListener;
 import io.endiveshed.net.http.ResponseOwner;
@@ -36,8 +37,10 @@
     private static final int MAX_SKIPPED_BYTES = 256 * 1024;
 
     private final HttpClientOptions options;
+    private final Consumer<DiscardedResponse> whenDiscarded;
     private ChannelHandlerContext context;
     private HttpResponseListener listener;
+    private String requestLabel = "";
     private Function<List<Header>, ResponseOwner> responseOwner;
     private Consumer<Boolean> whenFinished;
     private boolean keepAlive;
@@ -52,9 +55,15 @@
     private long idleSinceNanos;
     private ScheduledFuture<?> idleTimeout;
 
-    /** Creates the handler of one connection. */
-    public ClientConnection(HttpClientOptions options) {
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param options options of the connection
+     * @param whenDiscarded called with each final response that is not passed to a listener
+     */
+    public ClientConnection(HttpClientOptions options, Consumer<DiscardedResponse> whenDiscarded) {
         this.options = options;
+        this.whenDiscarded = whenDiscarded;
         this.maxIdleMillis = options.maxIdle().toMillis();
         this.idleSinceNanos = System.nanoTime();
     }
@@ -87,16 +96,21 @@
      * Assigns the connection to a request; must run on the event loop.
      *
      * @param newListener receives the response
+     * @param label name of the request in reports on discarded responses
      * @param owner tells from the header fields of a response to which request it belongs
      * @param finished called when the exchange has ended or failed, with whether the connection can be reused
      */
     public void begin(
-            HttpResponseListener newListener, Function<List<Header>, ResponseOwner> owner, Consumer<Boolean> finished) {
+            HttpResponseListener newListener,
+            String label,
+            Function<List<Header>, ResponseOwner> owner,
+            Consumer<Boolean> finished) {
         if (idleTimeout != null) {
             idleTimeout.cancel(false);
             idleTimeout = null;
         }
         listener = newListener;
+        requestLabel = label;
         responseOwner = owner;
         requests++;
         whenFinished = finished;
@@ -125,6 +139,11 @@
         inputEnded = true;
     }
 
+    /** Returns the number of requests that have used the connection, with the current one. */
+    public int requests() {
+        return requests;
+    }
+
     /** Writes the request. */
     public void write(FullHttpRequest request) {
         int number = requests;
@@ -162,7 +181,13 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-        if (listener == null || part.decoderResult().isFailure()) {
+        if (part.decoderResult().isFailure()) {
+            discard(DiscardedResponse.Reason.MALFORMED, part);
+            ctx.close();
+            return;
+        }
+        if (listener == null) {
+            discard(DiscardedResponse.Reason.NO_REQUEST_IN_PROGRESS, part);
             ctx.close();
             return;
         }
@@ -214,11 +239,13 @@
         }
         ResponseOwner owner = responseOwner.apply(headers);
         if (owner == ResponseOwner.OTHER_REQUEST) {
+            discard(DiscardedResponse.Reason.OTHER_REQUEST, response);
             isSkippingResponse = true;
             staleResponseSeen = true;
             return false;
         }
         if (owner == ResponseOwner.UNKNOWN && requests > 1) {
+            discard(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
             fail("a response that names no request arrived on a connection that other requests have used");
             context.close();
             return false;
@@ -230,6 +257,14 @@
         return true;
     }
 
+    /** Reports the head of a response that is not passed to a listener; the parts of its body are not reported. */
+    private void discard(DiscardedResponse.Reason reason, HttpObject part) {
+        if (part instanceof HttpResponse response) {
+            whenDiscarded.accept(
+                    new DiscardedResponse(reason, response.status().code(), headers(response), requestLabel, requests));
+        }
+    }
+
     private void adoptAnnouncedIdleTimeout(String keepAliveHeader) {
         if (keepAliveHeader == null) {
             return;
