Do not read an interrupted response and the next one as one

Cause: a target begins to write an answer once more, late, and breaks off in its head. The part stays in the decoder of the connection, as it is no whole line, and nobody notices. The connection carries the next request, and the decoder reads the part and the next answer as one head: the status line of the interrupted answer, with the id, the signature and the body of the current one. All checks of the answer look at the id and the signature.

Change: - A connection is not used again if bytes are left after a response, and it is closed when a part of a response arrives while it is idle. The client codec of Netty does not tell, so the decoder is a class of its own now. - A head with another status line in its reason phrase or in a field is no response; the exchange has failed and may have run. This is for a part that arrives when the next request is under way already.

--- a/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
+++ b/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
@@ -7,7 +7,7 @@
  * Response of a server that was not passed to the listener of a request.
  *
  * @param reason why it was discarded
- * @param status HTTP status; without meaning if the response is malformed
+ * @param status HTTP status; without meaning if the response is incomplete or malformed
  * @param headers header fields, as far as they were parsed
  * @param request label of the request that uses the connection, or of the last one that did; empty if there was none
  * @param connectionRequests number of requests that have used the connection
@@ -25,6 +25,9 @@
         /** No request uses the connection. */
         NO_REQUEST_IN_PROGRESS,
 
+        /** The response broke off in its head, so that the bytes after it cannot be told from it. */
+        INCOMPLETE,
+
         /** The bytes are no HTTP response. */
         MALFORMED
     }
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -3,6 +3,7 @@
 import io.endiveshed.net.http.internal.BytesArrivedHandler;
 import io.endiveshed.net.http.internal.ClientConnection;
 import io.endiveshed.net.http.internal.InputEndHandler;
+import io.endiveshed.net.http.internal.ResponseDecoder;
 import io.endiveshed.protocol.Header;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -13,7 +14,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -94,12 +95,14 @@
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientConnection connection = new ClientConnection(options, whenDiscarded);
+                        ResponseDecoder decoder = new ResponseDecoder();
+                        ClientConnection connection = new ClientConnection(options, decoder, whenDiscarded);
                         channel.pipeline()
                                 .addLast(new BytesArrivedHandler(
                                         bytes -> connection.onBytesArrived(bytes.readableBytes())))
                                 .addLast(new InputEndHandler(connection::onInputEnded))
-                                .addLast(new HttpClientCodec())
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 });
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -28,6 +28,7 @@
 public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final String KEEP_ALIVE_FIELD = "Keep-Alive";
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}");
     private static final int FIRST_FINAL_STATUS = 200;
 
     /**
@@ -37,6 +38,7 @@
     private static final int MAX_SKIPPED_BYTES = 256 * 1024;
 
     private final HttpClientOptions options;
+    private final ResponseDecoder decoder;
     private final Consumer<DiscardedResponse> whenDiscarded;
     private ChannelHandlerContext context;
     private HttpResponseListener listener;
@@ -59,10 +61,13 @@
      * Creates the handler of one connection.
      *
      * @param options options of the connection
-     * @param whenDiscarded called with each final response that is not passed to a listener
+     * @param decoder decoder of the connection, which precedes the handler in the pipeline
+     * @param whenDiscarded called with each response that is not passed to a listener, except interim ones
      */
-    public ClientConnection(HttpClientOptions options, Consumer<DiscardedResponse> whenDiscarded) {
+    public ClientConnection(
+            HttpClientOptions options, ResponseDecoder decoder, Consumer<DiscardedResponse> whenDiscarded) {
         this.options = options;
+        this.decoder = decoder;
         this.whenDiscarded = whenDiscarded;
         this.maxIdleMillis = options.maxIdle().toMillis();
         this.idleSinceNanos = System.nanoTime();
@@ -146,6 +151,7 @@
 
     /** Writes the request. */
     public void write(FullHttpRequest request) {
+        decoder.setRequestMethod(request.method());
         int number = requests;
         context.writeAndFlush(request).addListener(written -> {
             if (number == requests && written.isSuccess()) {
@@ -230,8 +236,28 @@
         }
     }
 
+    /**
+     * Closes an idle connection on which a part of a response has arrived. The decoder would read that part and the
+     * response to the next request as one.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            whenDiscarded.accept(
+                    new DiscardedResponse(DiscardedResponse.Reason.INCOMPLETE, 0, List.of(), requestLabel, requests));
+            ctx.close();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
+        if (containsStatusLine(response)) {
+            discard(DiscardedResponse.Reason.INCOMPLETE, response);
+            fail("a response broke off in its head and another one followed");
+            context.close();
+            return false;
+        }
         List<Header> headers = headers(response);
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkippingResponse = true;
@@ -265,6 +291,19 @@
         }
     }
 
+    /**
+     * Returns whether the head contains another status line, which follows if a server breaks off in a head and goes on
+     * with the next response. Status and header fields then belong to different responses.
+     */
+    private static boolean containsStatusLine(HttpResponse response) {
+        return containsStatusLine(response.status().reasonPhrase())
+                || response.headers().entries().stream().anyMatch(header -> containsStatusLine(header.getValue()));
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    }
+
     private void adoptAnnouncedIdleTimeout(String keepAliveHeader) {
         if (keepAliveHeader == null) {
             return;
@@ -309,7 +348,8 @@
     private void finish() {
         HttpResponseListener current = listener;
         listener = null;
-        whenFinished.accept(keepAlive && !staleResponseSeen && context.channel().isActive());
+        boolean isClean = !staleResponseSeen && !decoder.hasUndecodedBytes();
+        whenFinished.accept(keepAlive && isClean && context.channel().isActive());
         current.ended();
     }
 
