Test the answer to HEAD, and look at the header fields of a response once

Cause: the decoder of a connection no longer gets the method of each request from the client codec of Netty, and no test sent HEAD. The search for another status line made a second list of the header fields.

Change: answerToHeadHasNoBody, with a second request on the connection; the search uses the list that the listener gets.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -253,13 +253,13 @@
 
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
-        if (containsStatusLine(response)) {
+        List<Header> headers = headers(response);
+        if (containsStatusLine(response.status().reasonPhrase(), headers)) {
             discard(DiscardedResponse.Reason.INCOMPLETE, response);
             fail("a response broke off in its head and another one followed");
             context.close();
             return false;
         }
-        List<Header> headers = headers(response);
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkippingResponse = true;
             return false;
@@ -305,9 +305,9 @@
      * Returns whether the head contains another status line, which follows if a server breaks off in a head and goes on
      * with the next response. Status and header fields then belong to different responses.
      */
-    private static boolean containsStatusLine(HttpResponse response) {
-        return containsStatusLine(response.status().reasonPhrase())
-                || response.headers().entries().stream().anyMatch(header -> containsStatusLine(header.getValue()));
+    private static boolean containsStatusLine(String reasonPhrase, List<Header> headers) {
+        return containsStatusLine(reasonPhrase)
+                || headers.stream().anyMatch(header -> containsStatusLine(header.value()));
     }
 
     private static boolean containsStatusLine(String text) {
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -69,6 +69,27 @@
         }
     }
 
+    /** Guards against a client that waits for the body whose length an answer to HEAD names. */
+    @Test
+    void answerToHeadHasNoBody() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (RawServer server = new RawServer((socket, input) -> {
+            connections.incrementAndGet();
+            while (readHead(input)) {
+                send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+            }
+        })) {
+            HttpClient client = new HttpClient(loops, server.address());
+            for (int i = 0; i < 2; i++) {
+                OutcomeListener listener = new OutcomeListener();
+                client.send("HEAD", "/", List.of(), new byte[0], listener);
+                assertThat(listener.outcome()).isEqualTo("ended");
+            }
+            client.stop();
+        }
+        assertThat(connections.get()).isEqualTo(1);
+    }
+
     /** Guards against a process that has ended and counts as running, and the reverse. */
     @Test
     void probeTellsARunningProcessFromOneThatHasEnded() throws Exception {
