Report a revoked attempt with the reason of its revocation

What callers saw: 499 cancelled, "none; the caller closed the connection", for a call with an idempotency key that was revoked before its deadline, where 504 deadline_exceeded was due. The outcome, not_run, was right. An attempt that was revoked because its link was lost ended the same way instead of being retried; this is known from the test below only.

Cause: a revocation that drops a waiting call makes the sidecar send two messages. The event loop of the link sends the result of the revocation, and a task of zero delay releases the claim, whose decision fails the attempt as cancelled. The sidecar has two event loops and timers go to them in turn, so the task may run on the other loop and its message may enter the queue of the link first. The entry took this failure for the end of the call, and ignored the result that followed. The claim log, the link and the order of messages on it work as intended; on two lanes there is no order at all.

Change: the call keeps the failure for which its attempt is being revoked. If the sidecar reports the attempt as cancelled, the call ends or is retried with this failure and the outcome from the sidecar, as with the result. Other failures are passed on as before. No assertion of IdempotencyKeyTest is changed.

--- a/entry/src/main/java/io/endiveshed/entry/internal/Call.java
+++ b/entry/src/main/java/io/endiveshed/entry/internal/Call.java
@@ -34,6 +34,10 @@
     private Attempt currentAttempt;
     private Message.ResponseHead head;
     private Future<?> deadlineTimer;
+
+    /** Failure for which the current attempt is being revoked, or null. */
+    private Failure revocationReason;
+
     private boolean mayHaveRun;
     private boolean responseStarted;
     private boolean finished;
@@ -87,6 +91,7 @@
         AttemptId attempt = new AttemptId(id, triedTargets.size());
         currentAttempt = new Attempt(attempt, target, link, spec.body());
         head = null;
+        revocationReason = null;
         listener.attemptStarted(target);
         currentAttempt.send(dispatchFactory.create(attempt));
         if (!link.isOpen()) {
@@ -109,7 +114,7 @@
             handleChunk(chunk);
         } else if (message instanceof Message.AttemptFailed failed) {
             currentAttempt.acknowledgeEnd();
-            attemptFailed(CallFailures.fromMessage(failed));
+            attemptFailed(failureOf(failed));
         }
         return true;
     }
@@ -160,8 +165,7 @@
     /** Has the current attempt revoked shortly before the deadline, so that the error can state that it did not run. */
     synchronized void revokeIfUnanswered() {
         if (!finished && currentAttempt != null && !responseStarted) {
-            listener.revocationNeeded(
-                    this, currentAttempt.id(), currentAttempt.target(), CallFailures.deadlineExceeded(spec));
+            revokeAttempt(CallFailures.deadlineExceeded(spec));
         }
     }
 
@@ -244,13 +248,28 @@
                 .outcome(outcome)
                 .build();
         if (outcome == Outcome.UNKNOWN && hasIdempotencyKey() && !responseStarted) {
-            listener.revocationNeeded(this, currentAttempt.id(), currentAttempt.target(), failure);
+            revokeAttempt(failure);
             return;
         }
         cancelAttempt();
         attemptFailed(failure);
     }
 
+    private void revokeAttempt(Failure reason) {
+        revocationReason = reason;
+        listener.revocationNeeded(this, currentAttempt.id(), currentAttempt.target(), reason);
+    }
+
+    /**
+     * Returns the failure that a sidecar reported. For a revoked attempt, which a sidecar may report as cancelled before
+     * it sends the result of the revocation, it is the failure that led to the revocation.
+     */
+    private Failure failureOf(Message.AttemptFailed failed) {
+        return failed.kind() == ErrorKind.CANCELLED && revocationReason != null
+                ? CallFailures.withOutcome(revocationReason, failed.outcome())
+                : CallFailures.fromMessage(failed);
+    }
+
     private void cancelAttempt() {
         if (currentAttempt != null) {
             listener.cancelNeeded(currentAttempt.id(), currentAttempt.target(), spec.body().length);
