Close idle connections also when whole lines of a head have arrived

Cause: a part of an answer that ends with a line leaves no undecoded bytes, as the decoder has read its lines. The connection stayed in use, the next answer was read as a field of that head, and its exchange failed: a booking that had run was answered with 502.

Change: any bytes that arrive without a request in progress close the connection.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -52,6 +52,7 @@
     private boolean inputEnded;
     private boolean requestWritten;
     private boolean endAwaitsWrite;
+    private boolean hasUnaskedBytes;
     private int skippedBytes;
     private int requests;
     private long maxIdleMillis;
@@ -133,6 +134,7 @@
      * response to the current request.
      */
     public void onBytesArrived(int length) {
+        hasUnaskedBytes |= listener == null;
         skippedBytes += length;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
             fail("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
@@ -189,11 +191,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part.decoderResult().isFailure()) {
+            hasUnaskedBytes = false;
             discard(DiscardedResponse.Reason.MALFORMED, part);
             ctx.close();
             return;
         }
         if (listener == null) {
+            hasUnaskedBytes = false;
             discard(DiscardedResponse.Reason.NO_REQUEST_IN_PROGRESS, part);
             ctx.close();
             return;
@@ -239,11 +243,12 @@
 
     /**
      * Closes an idle connection on which a part of a response has arrived. The decoder would read that part and the
-     * response to the next request as one.
+     * response to the next request as one, also if the part consists of whole lines, which leave no undecoded bytes.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (listener == null && decoder.hasUndecodedBytes()) {
+        if (listener == null && hasUnaskedBytes) {
+            hasUnaskedBytes = false;
             whenDiscarded.accept(
                     new DiscardedResponse(DiscardedResponse.Reason.INCOMPLETE, 0, List.of(), requestLabel, requests));
             ctx.close();
@@ -358,7 +363,8 @@
     private void finish() {
         HttpResponseListener current = listener;
         listener = null;
-        boolean isClean = !staleResponseSeen && !decoder.hasUndecodedBytes();
+        hasUnaskedBytes = decoder.hasUndecodedBytes();
+        boolean isClean = !staleResponseSeen && !hasUnaskedBytes;
         whenFinished.accept(keepAlive && isClean && context.channel().isActive());
         current.ended();
     }
