Fail a request at once if its answer is read as the body of another one

Cause: a target breaks off in the body of a repeated answer and goes on with the answer to the current request. That answer is read as the rest of the body, and the request waits until its deadline. Not a wrong answer, but a booking gets 504 after 8 s in place of 502 at once.

Change: a body or a trailer that is skipped is searched for a status line; if there is one, the exchange has failed and may have run. Bodies that are passed on are not searched. A repeated answer that quotes a status line in its body fails the current exchange as well.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -11,12 +11,14 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -206,7 +208,7 @@
             return;
         }
         if (isSkippingResponse) {
-            isSkippingResponse = !(part instanceof LastHttpContent);
+            skip(part);
             return;
         }
         skippedBytes = 0;
@@ -298,6 +300,20 @@
         staleResponseSeen = true;
     }
 
+    /**
+     * Ignores a part of such a response. If the server has broken off in its body and gone on with the next response, the
+     * response to the current request is read as that body and never ends.
+     */
+    private void skip(HttpObject part) {
+        isSkippingResponse = !(part instanceof LastHttpContent);
+        boolean swallowsNext = part instanceof HttpContent content
+                && containsStatusLine(content.content().toString(StandardCharsets.ISO_8859_1));
+        if (swallowsNext || (part instanceof LastHttpContent last && containsStatusLine(last.trailingHeaders()))) {
+            fail("a response broke off in its body and another one followed");
+            context.close();
+        }
+    }
+
     /** Reports the head of a response that is not passed to a listener; the parts of its body are not reported. */
     private void discard(DiscardedResponse.Reason reason, HttpObject part) {
         if (part instanceof HttpResponse response) {
@@ -311,8 +327,11 @@
      * with the next response. Status and header fields then belong to different responses.
      */
     private static boolean containsStatusLine(HttpResponse response) {
-        return containsStatusLine(response.status().reasonPhrase())
-                || response.headers().entries().stream().anyMatch(header -> containsStatusLine(header.getValue()));
+        return containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(response.headers());
+    }
+
+    private static boolean containsStatusLine(HttpHeaders fields) {
+        return fields.entries().stream().anyMatch(field -> containsStatusLine(field.getValue()));
     }
 
     private static boolean containsStatusLine(String text) {
