--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -11,12 +11,14 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +54,7 @@
     private boolean inputEnded;
     private boolean requestWritten;
     private boolean endAwaitsWrite;
+    private boolean hasUnaskedBytes;
     private int skippedBytes;
     private int requests;
     private long maxIdleMillis;
@@ -133,6 +136,7 @@
      * response to the current request.
      */
     public void onBytesArrived(int length) {
+        hasUnaskedBytes |= listener == null;
         skippedBytes += length;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
             fail("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
@@ -189,11 +193,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part.decoderResult().isFailure()) {
+            hasUnaskedBytes = false;
             discard(DiscardedResponse.Reason.MALFORMED, part);
             ctx.close();
             return;
         }
         if (listener == null) {
+            hasUnaskedBytes = false;
             discard(DiscardedResponse.Reason.NO_REQUEST_IN_PROGRESS, part);
             ctx.close();
             return;
@@ -202,7 +208,7 @@
             return;
         }
         if (isSkippingResponse) {
-            isSkippingResponse = !(part instanceof LastHttpContent);
+            skip(part);
             return;
         }
         skippedBytes = 0;
@@ -239,11 +245,12 @@
 
     /**
      * Closes an idle connection on which a part of a response has arrived. The decoder would read that part and the
-     * response to the next request as one.
+     * response to the next request as one, also if the part consists of whole lines, which leave no undecoded bytes.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (listener == null && decoder.hasUndecodedBytes()) {
+        if (listener == null && hasUnaskedBytes) {
+            hasUnaskedBytes = false;
             whenDiscarded.accept(
                     new DiscardedResponse(DiscardedResponse.Reason.INCOMPLETE, 0, List.of(), requestLabel, requests));
             ctx.close();
@@ -253,8 +260,11 @@
 
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
-        List<Header> headers = headers(response);
-        if (containsStatusLine(response.status().reasonPhrase(), headers)) {
+        List<Header> headers = headers(response.headers());
+        // A server that breaks off in a head and goes on with the next response leaves the status of one of them and
+        // fields
+        // of both.
+        if (containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(headers)) {
             discard(DiscardedResponse.Reason.INCOMPLETE, response);
             fail("a response broke off in its head and another one followed");
             context.close();
@@ -293,21 +303,33 @@
         staleResponseSeen = true;
     }
 
+    /**
+     * Ignores a part of such a response. If the server has broken off in its body and gone on with the next response, the
+     * response to the current request is read as that body and never ends.
+     */
+    private void skip(HttpObject part) {
+        isSkippingResponse = !(part instanceof LastHttpContent);
+        if (part instanceof HttpContent content && containsStatusLine(content)) {
+            fail("a response broke off in its body and another one followed");
+            context.close();
+        }
+    }
+
     /** Reports the head of a response that is not passed to a listener; the parts of its body are not reported. */
     private void discard(DiscardedResponse.Reason reason, HttpObject part) {
         if (part instanceof HttpResponse response) {
-            whenDiscarded.accept(
-                    new DiscardedResponse(reason, response.status().code(), headers(response), requestLabel, requests));
+            whenDiscarded.accept(new DiscardedResponse(
+                    reason, response.status().code(), headers(response.headers()), requestLabel, requests));
         }
     }
 
-    /**
-     * Returns whether the head contains another status line, which follows if a server breaks off in a head and goes on
-     * with the next response. Status and header fields then belong to different responses.
-     */
-    private static boolean containsStatusLine(String reasonPhrase, List<Header> headers) {
-        return containsStatusLine(reasonPhrase)
-                || headers.stream().anyMatch(header -> containsStatusLine(header.value()));
+    private static boolean containsStatusLine(HttpContent part) {
+        return containsStatusLine(part.content().toString(StandardCharsets.ISO_8859_1))
+                || (part instanceof LastHttpContent last && containsStatusLine(headers(last.trailingHeaders())));
+    }
+
+    private static boolean containsStatusLine(List<Header> headers) {
+        return headers.stream().anyMatch(header -> containsStatusLine(header.value()));
     }
 
     private static boolean containsStatusLine(String text) {
@@ -358,14 +380,15 @@
     private void finish() {
         HttpResponseListener current = listener;
         listener = null;
-        boolean isClean = !staleResponseSeen && !decoder.hasUndecodedBytes();
+        hasUnaskedBytes = decoder.hasUndecodedBytes();
+        boolean isClean = !staleResponseSeen && !hasUnaskedBytes;
         whenFinished.accept(keepAlive && isClean && context.channel().isActive());
         current.ended();
     }
 
-    private static List<Header> headers(HttpResponse response) {
+    private static List<Header> headers(HttpHeaders fields) {
         List<Header> headers = new ArrayList<>();
-        response.headers().forEach(entry -> headers.add(new Header(entry.getKey(), entry.getValue())));
+        fields.forEach(entry -> headers.add(new Header(entry.getKey(), entry.getValue())));
         return headers;
     }
 }
