Do not complete a broken-off body with the head of another response

Cause: a target breaks off in the body of an answer with a length, and then writes another answer on the connection. The head of that answer filled the rest of the length, and the caller got a signed success with a body that is not the target's.

Change: if bytes are left after the end of a body, its last part is searched for a status line; if there is one, the exchange has failed and may have run. Not recognized: fewer missing bytes than a status line has, or another answer that fits into the missing bytes.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -215,8 +215,8 @@
         if (part instanceof HttpContent content && content.content().isReadable()) {
             listener.received(ByteBufUtil.getBytes(content.content()));
         }
-        if (part instanceof LastHttpContent && listener != null) {
-            finishUnlessCutOff();
+        if (part instanceof LastHttpContent last && listener != null) {
+            finishUnlessCutOff(last);
         }
     }
 
@@ -224,10 +224,14 @@
      * Ends the exchange at the last part of a response unless it was cut off. The codec also reports a last part of a
      * response without a length when the connection is closed by a failed write or by this process. The end of input
      * completes such a response only once the server has taken the whole request: a server that closes a connection with
-     * unread bytes resets it, and the end of its output may arrive before the reset.
+     * unread bytes resets it, and the end of its output may arrive before the reset. A body that ends within a head is
+     * cut off as well; bodies without bytes after them are not searched for one.
      */
-    private void finishUnlessCutOff() {
-        if (inputEnded && !requestWritten) {
+    private void finishUnlessCutOff(LastHttpContent last) {
+        if (decoder.hasUndecodedBytes() && containsStatusLine(last.content().toString(StandardCharsets.ISO_8859_1))) {
+            fail("the response broke off in its body and another one followed");
+            context.close();
+        } else if (inputEnded && !requestWritten) {
             endAwaitsWrite = true;
         } else if (inputEnded || context.channel().isActive()) {
             finish();
@@ -300,10 +304,7 @@
         staleResponseSeen = true;
     }
 
-    /**
-     * Ignores a part of such a response. If the server has broken off in its body and gone on with the next response, the
-     * response to the current request is read as that body and never ends.
-     */
+    /** Ignores a part of such a response; fails if it has swallowed the response to the current request. */
     private void skip(HttpObject part) {
         isSkippingResponse = !(part instanceof LastHttpContent);
         boolean swallowsNext = part instanceof HttpContent content
