Send each call of a sidecar to its target on a connection of its own

What callers saw: nothing that is known.

Cause: on the own interface, answers of targets name no request, and the sidecar used its connections again. A target that writes an answer once more when the next one is due had the copy taken for it.

Change: the sidecar's client does not reuse connections, as the client of the store. A call costs one more connection on loopback; what that costs under load was not measured.

Evidence: RepeatedAnswersTest failed before (the first caller got the empty answer to a question of the sidecar) and passes, as do LocalDeploymentTest, DrainTest, EntryReadinessTest, IdempotencyKeyTest and TargetCallFailureTest.

--- a/local/src/test/java/io/endiveshed/local/TestFleet.java
+++ b/local/src/test/java/io/endiveshed/local/TestFleet.java
@@ -69,7 +69,7 @@
         for (int i = 0; i < sidecarCount; i++) {
             engines.add(new EngineStandIn(loops, loopback(0), timePerToken));
             engines.get(i).start();
-            sidecars.add(sidecar(i));
+            sidecars.add(sidecar(i, engines.get(i).port()));
         }
         awaitLiveTargets(sidecarCount);
     }
@@ -87,7 +87,13 @@
     /** Restarts a sidecar, which gets a new incarnation, and blocks until all targets are live again. */
     void restartSidecar(int index) {
         sidecars.get(index).stop();
-        sidecars.set(index, sidecar(index));
+        sidecars.set(index, sidecar(index, engines.get(index).port()));
+        awaitLiveTargets(sidecars.size());
+    }
+
+    /** Starts a sidecar of an engine that the test runs itself, and blocks until all targets are live. */
+    void addSidecar(int targetPort) {
+        sidecars.add(sidecar(sidecars.size(), targetPort));
         awaitLiveTargets(sidecars.size());
     }
 
@@ -154,14 +160,14 @@
         return entry;
     }
 
-    private SidecarDaemon sidecar(int index) {
+    private SidecarDaemon sidecar(int index, int targetPort) {
         SidecarSettings settings = SidecarSettings.builder()
                 .instance(new InstanceId("engine-" + index))
                 .region(new Region("r"))
                 .failureDomain(new FailureDomain("a"))
                 .targetKind(TargetKind.ENGINE)
                 .serves(List.of(MODEL))
-                .targetAddress(loopback(engines.get(index).port()))
+                .targetAddress(loopback(targetPort))
                 .entries(entries.stream()
                         .map(entry -> loopback(entry.linkPort()))
                         .toList())
--- a/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/SidecarDaemon.java
@@ -16,6 +16,7 @@
 import io.endiveshed.coordination.membership.EntrySelector;
 import io.endiveshed.net.engine.HttpEnginePort;
 import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.link.LinkDialer;
 import io.endiveshed.ports.platform.InstanceList;
 import io.endiveshed.ports.platform.ObjectStore;
@@ -127,7 +128,10 @@
         this.settings = settings;
         this.clock = clock;
         this.loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
-        this.targetClient = new HttpClient(loops, settings.targetAddress());
+        this.targetClient = new HttpClient(
+                loops,
+                settings.targetAddress(),
+                HttpClientOptions.withoutReuse(HttpClientOptions.defaults().connectTimeout()));
         SecureRandom random = new SecureRandom();
         Incarnation incarnation = Incarnation.random(random);
         this.calls = new TargetCalls(
