--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -54,7 +54,7 @@
     private boolean inputEnded;
     private boolean requestWritten;
     private boolean endAwaitsWrite;
-    private boolean hasUnaskedBytes;
+    private boolean hasUnexpectedBytes;
     private int skippedBytes;
     private int requests;
     private long maxIdleMillis;
@@ -136,7 +136,7 @@
      * response to the current request.
      */
     public void onBytesArrived(int length) {
-        hasUnaskedBytes |= listener == null;
+        hasUnexpectedBytes |= listener == null;
         skippedBytes += length;
         if (skippedBytes > MAX_SKIPPED_BYTES) {
             fail("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
@@ -193,13 +193,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            hasUnaskedBytes = false;
+            hasUnexpectedBytes = false;
             discard(DiscardedResponse.Reason.MALFORMED, part);
             ctx.close();
             return;
         }
         if (listener == null) {
-            hasUnaskedBytes = false;
+            hasUnexpectedBytes = false;
             discard(DiscardedResponse.Reason.NO_REQUEST_IN_PROGRESS, part);
             ctx.close();
             return;
@@ -208,7 +208,7 @@
             return;
         }
         if (isSkippingResponse) {
-            skip(part);
+            skipPart(part);
             return;
         }
         skippedBytes = 0;
@@ -225,7 +225,7 @@
      * response without a length when the connection is closed by a failed write or by this process. The end of input
      * completes such a response only once the server has taken the whole request: a server that closes a connection with
      * unread bytes resets it, and the end of its output may arrive before the reset. A body that ends within a head is
-     * cut off as well; bodies without bytes after them are not searched for one.
+     * cut off as well; only a body that is followed by further bytes is searched for one.
      */
     private void finishUnlessCutOff(LastHttpContent last) {
         if (decoder.hasUndecodedBytes() && containsStatusLine(last.content().toString(StandardCharsets.ISO_8859_1))) {
@@ -253,8 +253,8 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (listener == null && hasUnaskedBytes) {
-            hasUnaskedBytes = false;
+        if (listener == null && hasUnexpectedBytes) {
+            hasUnexpectedBytes = false;
             whenDiscarded.accept(
                     new DiscardedResponse(DiscardedResponse.Reason.INCOMPLETE, 0, List.of(), requestLabel, requests));
             ctx.close();
@@ -265,9 +265,7 @@
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
         List<Header> headers = headers(response.headers());
-        // A server that breaks off in a head and goes on with the next response leaves the status of one of them and
-        // fields
-        // of both.
+        // Left by a server that breaks off in a head and goes on with the next response: the fields are of both.
         if (containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(headers)) {
             discard(DiscardedResponse.Reason.INCOMPLETE, response);
             fail("a response broke off in its head and another one followed");
@@ -280,11 +278,11 @@
         }
         ResponseOwner owner = responseOwner.apply(headers);
         if (owner == ResponseOwner.OTHER_REQUEST) {
-            skip(DiscardedResponse.Reason.OTHER_REQUEST, response);
+            beginSkipping(DiscardedResponse.Reason.OTHER_REQUEST, response);
             return false;
         }
         if (owner == ResponseOwner.UNKNOWN && !HttpResponseStatus.BAD_REQUEST.equals(response.status())) {
-            skip(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
+            beginSkipping(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
             return false;
         }
         if (owner == ResponseOwner.UNKNOWN && requests > 1) {
@@ -301,14 +299,14 @@
     }
 
     /** Ignores a response of another request, while the current request waits for its own. */
-    private void skip(DiscardedResponse.Reason reason, HttpResponse response) {
+    private void beginSkipping(DiscardedResponse.Reason reason, HttpResponse response) {
         discard(reason, response);
         isSkippingResponse = true;
         staleResponseSeen = true;
     }
 
-    /** Ignores a part of such a response; fails if it has swallowed the response to the current request. */
-    private void skip(HttpObject part) {
+    /** Ignores a part of a skipped response; fails if it contains the response to the current request. */
+    private void skipPart(HttpObject part) {
         isSkippingResponse = !(part instanceof LastHttpContent);
         if (part instanceof HttpContent content && containsStatusLine(content)) {
             fail("a response broke off in its body and another one followed");
@@ -381,8 +379,8 @@
     private void finish() {
         HttpResponseListener current = listener;
         listener = null;
-        hasUnaskedBytes = decoder.hasUndecodedBytes();
-        boolean isClean = !staleResponseSeen && !hasUnaskedBytes;
+        hasUnexpectedBytes = decoder.hasUndecodedBytes();
+        boolean isClean = !staleResponseSeen && !hasUnexpectedBytes;
         whenFinished.accept(keepAlive && isClean && context.channel().isActive());
         current.ended();
     }
