End a claim undecided at the deadline with deadline_exceeded

What callers saw: 503 store_unavailable, "the claim log made no decision within 1500 ms", with a remedy that sends operators to the object API, for a call whose own time was over. Probably the 503 for 504 in IdempotencyKeyTest.callWithAnUnansweredClaimIsRevokedAndReportedAsNotRun: its body was not recorded, but by the times in its log the call took about 1.9 s during a pause of the machine, so the deadline had passed.

Cause: the wait for a claim ends at the deadline of the caller, if this is earlier than 5 s, and was always reported as store_unavailable. The entry revokes the call before that, but if the revocation is late by more than its margin, the sidecar's timer races against the deadline timer of the entry. The sidecar's own check of deadlines, every 250 ms, says deadline_exceeded for the same event.

Change: an unavailable claim log is reported as deadline_exceeded, not_run, once the deadline of the call has passed. Before it, and after the wait of 5 s, the failure is store_unavailable as before. No assertion of IdempotencyKeyTest is changed.

Open: if the deadline timer of the entry comes first, the call ends with 504 unknown, so a pause longer than the margin can still fail the test method.

--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/ClaimGate.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/ClaimGate.java
@@ -121,7 +121,9 @@
             sendStoredResponse(call, completed.response());
         } else {
             refused.inc();
-            call.fail(failureOf(decision));
+            // The deadline is the reason for the missing decision then, and not the store.
+            boolean outOfTime = decision instanceof ClaimDecision.Unavailable && guard.isOverdue();
+            call.fail(outOfTime ? deadlineExceeded(call) : failureOf(decision));
         }
     }
 
@@ -141,6 +143,12 @@
         call.respondWith(response.status(), headers, response.body());
     }
 
+    private static Failure deadlineExceeded(TargetCall call) {
+        return Failure.of(ErrorKind.DEADLINE_EXCEEDED)
+                .message("no complete response within " + call.dispatch().remainingMillis() + " ms")
+                .build();
+    }
+
     private static Failure failureOf(ClaimDecision decision) {
         if (decision instanceof ClaimDecision.Unavailable unavailable) {
             return unavailable.failure();
--- a/sidecar/src/main/java/io/endiveshed/sidecar/internal/ClaimGuard.java
+++ b/sidecar/src/main/java/io/endiveshed/sidecar/internal/ClaimGuard.java
@@ -48,11 +48,16 @@
         }
     }
 
+    /** Returns whether the deadline of the call has passed. */
+    boolean isOverdue() {
+        return gate.clock().nanoTime() - deadlineNanos >= 0;
+    }
+
     @Override
     public synchronized boolean tryStart() {
         // After a pause of the process, the entry may have answered its caller already, so an overdue call must not
         // start.
-        if (state != State.CLAIMING || gate.clock().nanoTime() - deadlineNanos >= 0 || !log.tryStart(attempt)) {
+        if (state != State.CLAIMING || isOverdue() || !log.tryStart(attempt)) {
             return false;
         }
         state = State.STARTED;
