--- a/review/src-2/StoreStandIn.java
+++ b/review/src-2/StoreStandIn.java
@@ -1,6 +1,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,7 @@
     private long revision = 500;
     private int era = 1;
     private long goneRevision = 500;
+    private volatile int bytesPerSecond = Integer.MAX_VALUE;
     private boolean away;
     private boolean turnsAway;
 
@@ -79,6 +81,23 @@
         notifyAll();
     }
 
+    /** Sets the rate of the link to the entry; each answer is sent at this rate. */
+    void setBytesPerSecond(int value) {
+        bytesPerSecond = value;
+    }
+
+    private void send(OutputStream output, byte[] bytes) throws IOException, InterruptedException {
+        long start = System.nanoTime();
+        for (int sent = 0; sent < bytes.length; ) {
+            int length = Math.min(bytes.length - sent, Math.max(1, bytesPerSecond / 100));
+            output.write(bytes, sent, length);
+            output.flush();
+            sent += length;
+            long dueNanos = start + (long) (sent * 1e9 / bytesPerSecond);
+            Thread.sleep(Math.max(0, (dueNanos - System.nanoTime()) / 1_000_000));
+        }
+    }
+
     /** Sets whether the store turns calls over HTTP away with 503, while it serves the operator and the runners. */
     synchronized void setTurnsAway(boolean value) {
         turnsAway = value;
@@ -119,7 +138,7 @@
             exchange.getResponseHeaders().add("Content-Type", "application/json");
             exchange.getResponseHeaders().add("Store-Era", Integer.toString(answer.era));
             exchange.sendResponseHeaders(answer.status, bytes.length);
-            exchange.getResponseBody().write(bytes);
+            send(exchange.getResponseBody(), bytes);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
