--- a/review/src-2/NarrowLink.java
+++ b/review/src-2/NarrowLink.java
@@ -2,7 +2,9 @@
 
 /** All processes are killed on a machine with a narrow link, after the desired state has grown by many routes. */
 final class NarrowLink {
-    private static final int ROUTES = 4_670;
+    private static final int STEPS = 14;
+    private static final int ROUTES_PER_STEP = 334;
+    private static final int STEP_MILLIS = 1_500;
     private static final int VALUE_BYTES = 1_048_576;
 
     /** 9.8 Mbit/s, the smallest link of the sheet. */
@@ -11,7 +13,7 @@
     private static final int DOWN_MILLIS = 1_000;
     private static final int RECOVERY_MILLIS = 15_000;
     private static final int REQUESTS = 40;
-    private static final int REQUEST_GAP_MILLIS = 250;
+    private static final int REQUEST_GAP_MILLIS = 200;
 
     public static void main(String[] arguments) {
         Kit.main(arguments, NarrowLink::run);
@@ -30,16 +32,21 @@
         entry.start();
         entry.awaitReady();
         Kit.sleep(4000);
-        String grown = state(9, ROUTES);
-        if (grown.length() > VALUE_BYTES) {
-            throw new Kit.NotRunnable("the desired state is larger than valueBytes");
+        for (int step = 1; step <= STEPS; step++) {
+            String grown = state(7 + 2L * step, step * ROUTES_PER_STEP);
+            if (grown.length() > VALUE_BYTES) {
+                throw new Kit.NotRunnable("the desired state is larger than valueBytes");
+            }
+            store.write("config", "main", grown);
+            Kit.Record.line("version " + (7 + 2 * step) + " is acknowledged; it has " + grown.length()
+                    + " bytes, valueBytes is " + VALUE_BYTES);
+            Kit.sleep(STEP_MILLIS);
         }
-        store.write("config", "main", grown);
-        Kit.Record.line("version 9 is acknowledged; it has " + grown.length() + " bytes, valueBytes is " + VALUE_BYTES);
-        Kit.sleep(8000);
-        int before = serve(entry, "before", "/x1/x", "/again/x");
+        Kit.sleep(4000);
+        String newest = "/x" + (STEPS * ROUTES_PER_STEP - 1) + "/x";
+        int before = serve(entry, "before", newest, "/again/x");
         if (before < REQUESTS / 4) {
-            throw new Kit.NotRunnable("version 9 is not in force before the processes are killed: " + before + " served");
+            throw new Kit.NotRunnable("the newest version is not in force before the kill: " + before + " served");
         }
         if (trouble) {
             entry.signal("KILL");
@@ -48,7 +55,7 @@
             entry.start();
         }
         Kit.sleep(RECOVERY_MILLIS);
-        int after = serve(entry, "after", "/x1/x", "/again/x");
+        int after = serve(entry, "after", newest, "/again/x");
         Kit.Record.line("* of " + REQUESTS + " requests each, " + before + " were served before the fault and " + after
                 + " more than 15 s after the processes are back; the entry is "
                 + (entry.isReady() ? "ready" : "not ready"));
--- a/review/src-2/RestoredStore.java
+++ b/review/src-2/RestoredStore.java
@@ -1,11 +1,11 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** The store comes back from a copy that lacks the withdrawal of a key, and the operator writes it again 1.8 s later. */
+/** The store comes back from a copy that lacks the withdrawal of a key, and the operator writes it again 1.9 s later. */
 final class RestoredStore {
     private static final int REVOCATION_MILLIS = 5000;
-    private static final int AWAY_MILLIS = 4500;
-    private static final int REWRITE_MILLIS = 1800;
+    private static final int AWAY_MILLIS = 3500;
+    private static final int REWRITE_MILLIS = 1900;
 
     public static void main(String[] arguments) {
         Kit.main(arguments, RestoredStore::run);
@@ -59,7 +59,7 @@
             Kit.Record.line(id + " sent " + sent + " ms after the acknowledgement: "
                     + (answer == null ? "no answer" : answer.status()) + (ran ? ", ran" : ", did not run")
                     + (isLate ? "  <-- with a key that was taken away" : ""));
-            Kit.sleep(40);
+            Kit.sleep(20);
         }
         check(entry, runner, "after", "other-key", true);
         Kit.Record.line("* " + late.get() + " requests ran that were sent more than " + REVOCATION_MILLIS
