Log how far the response to a call had come when it timed out

A call to the store that timed out was logged as store.lost with the error UNKNOWN. A store that is silent, one that answers slowly, a large answer on a narrow link and an answer that broke off all looked alike.

HttpCall now logs the request, the time, the bytes of the body that had arrived and the time since the last of them.

No change of behaviour.

--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.agrona.concurrent.NanoClock;
 import org.tinylog.Logger;
 
 /**
@@ -46,6 +48,8 @@
     private Predicate<List<Header>> isOwnResponse = response -> true;
     private List<Header> responseHeaders = List.of();
     private int status;
+    private NanoClock clock;
+    private volatile long lastPartNanos;
 
     /** Creates a call whose response body the function parses; the function may throw a {@link RuntimeException}. */
     public HttpCall(Function<byte[], T> parser) {
@@ -85,13 +89,29 @@
                 .responseOwner(response ->
                         isOwnResponse.test(response) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
                 .build();
+        clock = scheduler;
+        long startNanos = scheduler.nanoTime();
+        lastPartNanos = startNanos;
         HttpExchange exchange = client.send(method, path, headers, content, this, options);
-        scheduler.schedule(timeout, () -> result.complete(Either.left(NO_VALID_ANSWER)));
+        scheduler.schedule(timeout, () -> timeOut(startNanos, method + " " + path));
         // Has no effect on an exchange that has ended; any other would keep reading a response that nobody waits for.
         result.thenRun(exchange::cancel);
         return result;
     }
 
+    private void timeOut(long startNanos, String request) {
+        if (result.complete(Either.left(NO_VALID_ANSWER))) {
+            long now = clock.nanoTime();
+            Logger.warn(
+                    "the response to {} was not complete after {} ms: {} bytes of its body arrived, the last ones {} ms"
+                            + " ago",
+                    request,
+                    TimeUnit.NANOSECONDS.toMillis(now - startNanos),
+                    body.size(),
+                    TimeUnit.NANOSECONDS.toMillis(now - lastPartNanos));
+        }
+    }
+
     @Override
     public void started(int value, List<Header> headers) {
         status = value;
@@ -102,6 +122,7 @@
     public void received(byte[] bytes) {
         if (body.size() + bytes.length <= maxBodyBytes) {
             body.writeBytes(bytes);
+            lastPartNanos = clock.nanoTime();
         } else {
             result.complete(Either.left(NO_VALID_ANSWER));
         }
