Read answers of the store for as long as they make progress

Cause: a call to the store had 700 ms, or a watch its wait and 700 ms, for the whole answer, whatever its size. An object of 906 kB takes 740 ms on that link. The call was given up while its answer arrived, and the same call was begun again. A watch has its wait in addition, so it hides the fault until the first failure, after which it waits for 50 ms only.

Ruled out: a silent store, a lost connection and a slow parse.

A store that is silent from the start, or stops within an answer by then, fails at the same time as before; one that stops later fails 700 ms after its last byte.

--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -85,6 +85,18 @@
             String path,
             List<Header> headers,
             byte[] content) {
+        return send(client, scheduler, ResponseTimeouts.fixed(timeout), method, path, headers, content);
+    }
+
+    /** Sends the request like the other method, with timeouts that may depend on the progress of the response. */
+    public CompletionStage<Either<Integer, T>> send(
+            HttpClient client,
+            Scheduler scheduler,
+            ResponseTimeouts timeouts,
+            String method,
+            String path,
+            List<Header> headers,
+            byte[] content) {
         ExchangeOptions options = ExchangeOptions.builder()
                 .responseOwner(response ->
                         isOwnResponse.test(response) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
@@ -93,22 +105,32 @@
         long startNanos = scheduler.nanoTime();
         lastPartNanos = startNanos;
         HttpExchange exchange = client.send(method, path, headers, content, this, options);
-        scheduler.schedule(timeout, () -> timeOut(startNanos, method + " " + path));
+        String request = method + " " + path;
+        scheduler.schedule(timeouts.response(), () -> checkProgress(scheduler, timeouts, startNanos, request));
         // Has no effect on an exchange that has ended; any other would keep reading a response that nobody waits for.
         result.thenRun(exchange::cancel);
         return result;
     }
 
-    private void timeOut(long startNanos, String request) {
-        if (result.complete(Either.left(NO_VALID_ANSWER))) {
-            long now = clock.nanoTime();
+    private void checkProgress(Scheduler scheduler, ResponseTimeouts timeouts, long startNanos, String request) {
+        if (result.isDone()) {
+            return;
+        }
+        // Read before the clock, as a part may arrive on another thread meanwhile.
+        long partNanos = lastPartNanos;
+        long now = clock.nanoTime();
+        long remainingNanos = timeouts.remainingNanos(now - startNanos, now - partNanos, body.size());
+        if (remainingNanos > 0) {
+            scheduler.schedule(
+                    Duration.ofNanos(remainingNanos), () -> checkProgress(scheduler, timeouts, startNanos, request));
+        } else if (result.complete(Either.left(NO_VALID_ANSWER))) {
             Logger.warn(
                     "the response to {} was not complete after {} ms: {} bytes of its body arrived, the last ones {} ms"
                             + " ago",
                     request,
                     TimeUnit.NANOSECONDS.toMillis(now - startNanos),
                     body.size(),
-                    TimeUnit.NANOSECONDS.toMillis(now - lastPartNanos));
+                    TimeUnit.NANOSECONDS.toMillis(now - partNanos));
         }
     }
 
--- a/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
@@ -15,8 +15,9 @@
  */
 public interface ObjectFeed<T> {
     /**
-     * Time in which the store must answer a call, or a watch after its wait; the call fails after it. The store normally
-     * answers within milliseconds, so a slow call is retried instead.
+     * Time in which the store must answer a call, or a watch after its wait, and longest pause of an answer that takes
+     * longer because of its size; the call fails after it. The store normally answers within milliseconds, so a slow call
+     * is retried instead.
      */
     Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
