List the objects when their changes take more than a list

Cause: a watch returns each version of an object, and an entry that is behind by n versions reads n large objects of which it needs one. Beyond 8 MiB the answer was given up and the same watch repeated, until the store dropped its history.

A larger answer fails at its Content-Length, or at that size if it names none, and FeedFollower lists the objects, as it does after 410.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -22,7 +22,8 @@
 
 /**
  * Follows the store's objects of one kind: lists them, watches for changes, and lists them again when the store no
- * longer keeps the changes since the last known version, or has come back from an older copy. Versions are given out
+ * longer keeps the changes since the last known version, when these take more than a list, or when the store has come
+ * back from an older copy. Versions are given out
  * again then, so a watch from one of a former era may miss changes.
  *
  * <p>Confined to one event loop. The objects count as confirmed at the start of the call that succeeded, not at its
@@ -355,8 +356,8 @@
     }
 
     private void handleError(ClockReading start, StoreError error) {
-        if (error == StoreError.TOO_OLD) {
-            log.change("store.history-gone")
+        if (error == StoreError.TOO_OLD || (error == StoreError.TOO_LARGE && version >= 0)) {
+            log.change(error == StoreError.TOO_OLD ? "store.history-gone" : "store.changes-too-large")
                     .with("feed", name)
                     .with("version", version)
                     .write();
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -12,6 +12,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 import org.agrona.concurrent.NanoClock;
 import org.tinylog.Logger;
 
@@ -32,12 +33,20 @@
      */
     public static final int NO_VALID_ANSWER = -1;
 
+    /** Result in place of an HTTP status: the body of the response exceeds the maximum size of the call. */
+    public static final int TOO_LARGE = -2;
+
     /**
      * Maximum size of a response body in bytes, unless a smaller one is given; a list of configuration pieces is expected
      * to reach 6 MB in two years.
      */
     private static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
 
+    private static final String CONTENT_LENGTH = "Content-Length";
+
+    /** Lengths that fit into a long; the codec rejects what is no length. */
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
     private static final int SUCCESS_STATUS_CLASS = 2;
     private static final int STATUS_CLASS_SIZE = 100;
 
@@ -75,7 +84,7 @@
 
     /**
      * Sends the request. The stage never completes exceptionally: it has the value, or on the left the HTTP status,
-     * {@link #NOT_SENT} or {@link #NO_VALID_ANSWER}. Must be called at most once.
+     * {@link #NOT_SENT}, {@link #NO_VALID_ANSWER} or {@link #TOO_LARGE}. Must be called at most once.
      */
     public CompletionStage<Either<Integer, T>> send(
             HttpClient client,
@@ -138,6 +147,9 @@
     public void started(int value, List<Header> headers) {
         status = value;
         responseHeaders = headers;
+        if (announcedBytes(headers) > maxBodyBytes) {
+            result.complete(Either.left(TOO_LARGE));
+        }
     }
 
     @Override
@@ -146,7 +158,7 @@
             body.writeBytes(bytes);
             lastPartNanos = clock.nanoTime();
         } else {
-            result.complete(Either.left(NO_VALID_ANSWER));
+            result.complete(Either.left(TOO_LARGE));
         }
     }
 
@@ -160,6 +172,16 @@
         result.complete(Either.left(sent ? NO_VALID_ANSWER : NOT_SENT));
     }
 
+    /** Returns the length of the body that the header fields announce; 0 if they announce none. */
+    private static long announcedBytes(List<Header> headers) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(CONTENT_LENGTH)
+                        && LENGTH.matcher(header.value()).matches())
+                .mapToLong(header -> Long.parseLong(header.value()))
+                .findFirst()
+                .orElse(0);
+    }
+
     private Either<Integer, T> parseBody() {
         try {
             return Either.right(parser.apply(responseHeaders, body.toByteArray()));
--- a/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
+++ b/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
@@ -118,7 +118,7 @@
                 switch (status) {
                     case 412 -> StoreError.CONFLICT;
                     case 410 -> StoreError.TOO_OLD;
-                    case 413 -> StoreError.TOO_LARGE;
+                    case 413, HttpCall.TOO_LARGE -> StoreError.TOO_LARGE;
                     case HttpCall.NOT_SENT, HttpCall.NOT_FOUND, 400, 429, 503 -> StoreError.UNAVAILABLE;
                     default -> isWrite ? StoreError.UNKNOWN : StoreError.UNAVAILABLE;
                 });
--- a/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
@@ -34,6 +34,9 @@
         return Optional.empty();
     }
 
-    /** Returns the changes after a version; waits until there is one or the timeout expires. */
+    /**
+     * Returns the changes after a version; waits until there is one or the timeout expires. Changes that take more than a
+     * list of all objects are not read: the error is {@link StoreError#TOO_LARGE}, and the objects are to be listed.
+     */
     CompletionStage<Either<StoreError, FeedBatch<T>>> watch(long afterVersion, Duration wait);
 }
--- a/ports/src/main/java/io/endiveshed/ports/platform/StoreError.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/StoreError.java
@@ -10,7 +10,10 @@
     UNKNOWN,
     /** The watch starts at a version whose changes the store no longer keeps; list the objects again. */
     TOO_OLD,
-    /** The value exceeds {@link ObjectStore#MAX_VALUE_BYTES}. */
+    /**
+     * The value exceeds {@link ObjectStore#MAX_VALUE_BYTES}, or a reply its maximum size. If it is the reply to a watch,
+     * list the objects in place of their changes.
+     */
     TOO_LARGE,
     /** The call budget of this process is exhausted; nothing was sent. */
     BUDGET_SPENT
