Bound the size of the changes that an entry keeps for its peers

Found while looking for further costs of a large desired state on the entries that read for others.

Cause: a reader kept the last 64 changes of a feed with their content, for datagrams of at most 8 KiB. With versions of 0.93 MB these are 60 MB of its heap of 160 MB, and at each change up to 17 of them were packed and compressed in several attempts, of which none fits: 47 to 68 ms of a fast core, on entries with 0.19 cores.

Change: SharedFeed keeps at most 256 Ki characters of changes, the most that a receiver unpacks; objects of a larger answer get no source at all.

Measured (microbenchmark, x86-64, flags of the deployment): the figures above. SharedFeedTest.keptChangesAreBoundedByTheirLength fails without the bound (versions 8 and 9 are kept too).

--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
@@ -30,10 +30,17 @@
     /** Maximum number of changes that are kept to be sent; those of about two watches of a busy fleet. */
     private static final int MAX_CHANGES = 64;
 
+    /**
+     * Maximum length in characters of all changes that are kept. Larger ones do not fit into a datagram, and the entries
+     * that need them read them from the store.
+     */
+    public static final int MAX_CHANGES_LENGTH = 256 * 1024;
+
     private final String name;
     private final Limits limits;
     private final ObjectDigest objects = new ObjectDigest();
     private final Deque<FeedChanges.Change> changes = new ArrayDeque<>();
+    private int changesLength;
     private long digestBeforeChanges;
     private long era = -1;
     private long version = -1;
@@ -67,7 +74,7 @@
     /** Forgets all objects, which are about to be listed. */
     public void clear() {
         objects.clear();
-        changes.clear();
+        clearChanges();
     }
 
     /** Records the change of an object. */
@@ -81,18 +88,32 @@
         }
         OptionalLong after = objects.value();
         if (before.isEmpty() || after.isEmpty() || event.source().isPresent() == isDeleted) {
-            changes.clear();
+            clearChanges();
             return;
         }
         if (changes.isEmpty()) {
             digestBeforeChanges = before.getAsLong();
         }
-        changes.addLast(new FeedChanges.Change(event.name(), event.version(), after.getAsLong(), event.source()));
-        if (changes.size() > MAX_CHANGES) {
-            digestBeforeChanges = changes.removeFirst().digestAfter();
+        FeedChanges.Change change =
+                new FeedChanges.Change(event.name(), event.version(), after.getAsLong(), event.source());
+        changes.addLast(change);
+        changesLength += length(change);
+        while (changes.size() > MAX_CHANGES || changesLength > MAX_CHANGES_LENGTH) {
+            FeedChanges.Change oldest = changes.removeFirst();
+            changesLength -= length(oldest);
+            digestBeforeChanges = oldest.digestAfter();
         }
     }
 
+    private void clearChanges() {
+        changes.clear();
+        changesLength = 0;
+    }
+
+    private static int length(FeedChanges.Change change) {
+        return change.source().map(String::length).orElse(0);
+    }
+
     /** Returns the latest changes, of which peers may know the first; none if there are none that can be sent. */
     public Optional<FeedChanges> changes() {
         return changes.isEmpty()
--- a/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
@@ -8,6 +8,7 @@
 import io.endiveshed.coordination.freshness.Freshness;
 import io.endiveshed.coordination.sharing.SharedFeed.Verdict;
 import io.endiveshed.ports.platform.FeedEvent;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -113,6 +114,23 @@
         assertThat(feed.changes()).isEqualTo(Optional.empty());
     }
 
+    /** Guards against an entry whose memory fills with former versions of a large object. */
+    @Test
+    void keptChangesAreBoundedByTheirLength() {
+        String half = "x".repeat(SharedFeed.MAX_CHANGES_LENGTH / 2);
+        for (int version = 8; version < 12; version++) {
+            feed.changed(new FeedEvent<>("a", version, Optional.of("a")).withSource(half));
+        }
+        List<FeedChanges.Change> kept = feed.changes().orElseThrow().changes();
+        assertThat(kept.stream().map(FeedChanges.Change::version).toList())
+                .containsExactly(10L, 11L)
+                .inOrder();
+        assertThat(feedWith("a", 9).missing(feed.changes().orElseThrow())).isEqualTo(kept);
+
+        feed.changed(new FeedEvent<>("a", 12, Optional.of("a")).withSource(half + half + "x"));
+        assertThat(feed.changes()).isEqualTo(Optional.empty());
+    }
+
     private static FeedEvent<String> put(String name, long version) {
         return new FeedEvent<>(name, version, Optional.of(name)).withSource(name);
     }
