Fail answers whose status HTTP does not define

Here an answer with 000 or 099 was skipped like an interim response, so the caller waited and got 504 at the time limit; one with 600 or 2000 reached the caller as it was.

Cause: the codec accepts any number as a status. ClientConnection asked only whether it is below 200.

Change: a status outside the classes 1xx to 5xx fails the exchange at once, so that the caller gets 502 with an unknown outcome, or another attempt where that is permitted. The response is reported as MALFORMED, as bytes that are no HTTP are.

--- a/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
+++ b/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
@@ -28,7 +28,7 @@
         /** The response broke off in its head, so that the bytes after it cannot be told from it. */
         INCOMPLETE,
 
-        /** The bytes are no HTTP response. */
+        /** The bytes are no HTTP response, or one with a status that HTTP does not define. */
         MALFORMED
     }
 }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -272,6 +273,12 @@
             context.close();
             return false;
         }
+        if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+            discard(DiscardedResponse.Reason.MALFORMED, response);
+            fail("HTTP does not define the status " + response.status().code());
+            context.close();
+            return false;
+        }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkippingResponse = true;
             return false;
