Notify peers of a large change before it has been read

Cause: an entry that relies on a reader learnt of a change when the reader had read all of it, and then read it itself. On narrow links a large desired state was transferred twice, one after the other.

--- a/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
+++ b/coordination/src/main/java/io/endiveshed/coordination/sharing/SharedFeed.java
@@ -44,6 +44,7 @@
     private long digestBeforeChanges;
     private long era = -1;
     private long version = -1;
+    private boolean hasUnreadChanges;
     private Freshness own = Freshness.NEVER;
     private Freshness byPeers = Freshness.NEVER;
     private Freshness confirmed = Freshness.NEVER;
@@ -133,8 +134,17 @@
         return era;
     }
 
+    /**
+     * Records that the store has changes that this entry has not read yet. Until {@link #known} is called, the reports of
+     * this entry make its peers read them too.
+     */
+    public void changesArrive() {
+        hasUnreadChanges = true;
+    }
+
     /** Records the era and version of the store up to which the objects are known. */
     public void known(long knownEra, long knownVersion) {
+        hasUnreadChanges = false;
         version = knownEra == era ? Math.max(version, knownVersion) : knownVersion;
         era = knownEra;
     }
@@ -208,12 +218,13 @@
         if (era < 0 || digest.isEmpty()) {
             return Optional.empty();
         }
-        boolean isConfirmed = confirmedEra == era && confirmedDigest.equals(digest);
+        boolean isConfirmed = !hasUnreadChanges && confirmedEra == era && confirmedDigest.equals(digest);
+        // The digest after unread changes is not known; any other one makes peers compare the versions.
         return Optional.of(new FeedReport(
                 name,
                 era,
-                version,
-                digest.getAsLong(),
+                hasUnreadChanges ? version + 1 : version,
+                hasUnreadChanges ? ~digest.getAsLong() : digest.getAsLong(),
                 isConfirmed ? OptionalLong.of(confirmed.ageMillis(now)) : OptionalLong.empty(),
                 outage.equals(Freshness.NEVER) ? OptionalLong.empty() : OptionalLong.of(outage.ageMillis(now))));
     }
--- a/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
+++ b/coordination/src/test/java/io/endiveshed/coordination/sharing/SharedFeedTest.java
@@ -114,6 +114,21 @@
         assertThat(feed.changes()).isEqualTo(Optional.empty());
     }
 
+    /** Guards against a peer that takes what it has for the newest while a reader is reading a change. */
+    @Test
+    void reportOfUnreadChangesMakesPeersRead() {
+        SharedFeed peer = feedWith("a", 7);
+        feed.confirmed(at(900));
+        feed.changesArrive();
+        FeedReport report = feed.report(Freshness.NEVER, at(1_000)).orElseThrow();
+        assertThat(report.ageMillis()).isEqualTo(OptionalLong.empty());
+        assertThat(peer.receive(report, at(1_000), at(1_001), true)).isEqualTo(Verdict.READ);
+
+        feed.known(1, 8);
+        assertThat(feed.report(Freshness.NEVER, at(1_000)).orElseThrow().ageMillis())
+                .isEqualTo(OptionalLong.of(100));
+    }
+
     /** Guards against an entry whose memory fills with former versions of a large object. */
     @Test
     void keptChangesAreBoundedByTheirLength() {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -236,11 +236,17 @@
         if (version < 0) {
             feed.list().thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::listed)));
         } else {
-            feed.watch(version, watchTimeout(start))
+            feed.watch(version, watchTimeout(start), () -> loop.execute(() -> changesArrive(call)))
                     .thenAccept(result -> loop.execute(() -> handleResult(call, start, result, listener::changed)));
         }
     }
 
+    private void changesArrive(long call) {
+        if (!isStopped && call == lastCall) {
+            share.changesArrive();
+        }
+    }
+
     /** Returns the timeout of the next watch, which ends when an older copy may count as rewritten. */
     private Duration watchTimeout(ClockReading start) {
         if (isStoreLost) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedShare.java
@@ -87,6 +87,12 @@
         }
     }
 
+    /** Notifies the peers that the store has changes which this entry has begun to read. */
+    void changesArrive() {
+        feed.changesArrive();
+        sharing.ifPresent(shared -> shared.answer(Optional.empty(), 0));
+    }
+
     private void record(FeedBatch<?> batch) {
         batch.events().forEach(feed::changed);
         feed.known(batch.era().number(), batch.upTo());
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/FeedSharingTest.java
@@ -17,6 +17,9 @@
     /** Time in which a desired state must be in force and a leaving target gets no new requests. */
     private static final long BOUND_MILLIS = 3_000;
 
+    /** Time that an object of 1 MB takes on a link of 9.8 Mbit/s. */
+    private static final long LARGE_TRANSFER_MILLIS = 860;
+
     /** Age beyond which unknown routes and keys are not rejected (bound for desired states plus 0.5 s). */
     private static final long MAX_AGE_MILLIS = 2_500;
 
@@ -133,6 +136,45 @@
         }
     }
 
+    /** Guards against entries that begin to read a large desired state only after a reader has read all of it. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 9, 28, 43, 100})
+    void largeChangeIsInForceAfterOneTransfer(int entries) {
+        for (long seed = 1; seed <= 3; seed++) {
+            SharingSimulation simulation = startedOnNarrowLinks(entries, seed);
+            for (int i = 0; i < 10; i++) {
+                simulation.stores.get(SharingSimulation.CATALOG).put("main");
+                simulation.run(3_000 + simulation.random.nextInt(700));
+            }
+            assertWithMessage("seed %s", seed)
+                    .that(simulation.maxDelayMillis())
+                    .isLessThan(LARGE_TRANSFER_MILLIS * 3 / 2);
+        }
+    }
+
+    /** Guards against entries that fall behind while large changes follow each other faster than they can be read. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 9, 28, 43, 100})
+    void largeChangesInQuickSuccessionAreInForceInTime(int entries) {
+        for (long seed = 1; seed <= 3; seed++) {
+            SharingSimulation simulation = startedOnNarrowLinks(entries, seed);
+            for (int i = 0; i < 24; i++) {
+                simulation.stores.get(SharingSimulation.CATALOG).put("main");
+                simulation.run(i == 11 ? BOUND_MILLIS : 330);
+            }
+            simulation.run(BOUND_MILLIS);
+            assertWithMessage("seed %s", seed).that(simulation.maxDelayMillis()).isAtMost(BOUND_MILLIS - 500);
+        }
+    }
+
+    private static SharingSimulation startedOnNarrowLinks(int entries, long seed) {
+        SharingSimulation simulation = started(entries, seed);
+        simulation.transferMillis = LARGE_TRANSFER_MILLIS;
+        simulation.run(3_000 + seed * 170);
+        simulation.resetCounts();
+        return simulation;
+    }
+
     /** Guards against sharing that spares no calls, and against entries that call more often because of it. */
     @ParameterizedTest
     @ValueSource(ints = {28, 43, 100})
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/SharingSimulation.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/SharingSimulation.java
@@ -64,6 +64,9 @@
     long maxNetworkDelayMillis = 2;
     boolean isStoreDown;
 
+    /** Time that an object of the first feed takes on the link of an entry. */
+    long transferMillis;
+
     SharingSimulation(int count, boolean isShared, long seed) {
         this.random = new Random(seed);
         this.isShared = isShared;
@@ -159,12 +162,15 @@
         private final Store store;
         private final long after;
         private final Entry entry;
+        private final Runnable whenLarge;
         private final CompletableFuture<Either<StoreError, FeedBatch<String>>> result = new CompletableFuture<>();
+        private boolean isArriving;
 
-        private Watch(Store store, long after, Entry entry) {
+        private Watch(Store store, long after, Entry entry, Runnable whenLarge) {
             this.store = store;
             this.after = after;
             this.entry = entry;
+            this.whenLarge = whenLarge;
         }
 
         /** Answers if the store can be reached; a watch that cannot be answered fails after its timeout. */
@@ -179,11 +185,20 @@
             }
             List<FeedEvent<String>> batch =
                     after < 0 ? store.changes : store.changes.subList((int) after, store.changes.size());
+            boolean isLarge = transferMillis > 0 && store == stores.get(CATALOG) && !batch.isEmpty();
+            if (isLarge && after >= 0 && batch.size() > 1) {
+                answer(Either.left(StoreError.TOO_LARGE));
+                return;
+            }
+            if (isLarge) {
+                isArriving = true;
+                SharingSimulation.this.after(2, whenLarge);
+            }
             answer(Either.right(new FeedBatch<>(batch, store.changes.size(), new StoreEra(store.era))));
         }
 
         private void answer(Either<StoreError, FeedBatch<String>> answer) {
-            SharingSimulation.this.after(2, () -> result.complete(answer));
+            SharingSimulation.this.after(2 + (isArriving ? transferMillis : 0), () -> result.complete(answer));
         }
     }
 
@@ -369,16 +384,23 @@
 
         @Override
         public CompletionStage<Either<StoreError, FeedBatch<String>>> list() {
-            return call(-1, Duration.ZERO);
+            return call(-1, Duration.ZERO, () -> {});
         }
 
         @Override
         public CompletionStage<Either<StoreError, FeedBatch<String>>> watch(long afterVersion, Duration wait) {
-            return call(afterVersion, wait);
+            return watch(afterVersion, wait, () -> {});
         }
 
-        private CompletionStage<Either<StoreError, FeedBatch<String>>> call(long afterVersion, Duration wait) {
-            Watch watch = new Watch(store, afterVersion, entry);
+        @Override
+        public CompletionStage<Either<StoreError, FeedBatch<String>>> watch(
+                long afterVersion, Duration wait, Runnable whenLarge) {
+            return call(afterVersion, wait, whenLarge);
+        }
+
+        private CompletionStage<Either<StoreError, FeedBatch<String>>> call(
+                long afterVersion, Duration wait, Runnable whenLarge) {
+            Watch watch = new Watch(store, afterVersion, entry, whenLarge);
             after(2, () -> {
                 if (afterVersion >= store.changes.size() && !wait.isZero() && !entry.isCut && !isStoreDown) {
                     store.watches.add(watch);
@@ -393,7 +415,9 @@
             });
             after(wait.plus(CALL_TIMEOUT).toMillis(), () -> {
                 store.watches.remove(watch);
-                watch.result.complete(Either.left(StoreError.UNKNOWN));
+                if (!watch.isArriving) {
+                    watch.result.complete(Either.left(StoreError.UNKNOWN));
+                }
             });
             return watch.result;
         }
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -55,6 +55,8 @@
     private final CompletableFuture<Either<Integer, T>> result = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Predicate<List<Header>> isOwnResponse = response -> true;
+    private long largeBodyBytes = Long.MAX_VALUE;
+    private Runnable whenLarge = () -> {};
     private List<Header> responseHeaders = List.of();
     private int status;
     private NanoClock clock;
@@ -82,6 +84,16 @@
         return this;
     }
 
+    /**
+     * Runs the action once, on the connection's event loop, as soon as the body of a successful response is known to
+     * exceed a size in bytes, before the body is complete.
+     */
+    public HttpCall<T> whenLarge(long bytes, Runnable action) {
+        largeBodyBytes = bytes;
+        whenLarge = action;
+        return this;
+    }
+
     /**
      * Sends the request. The stage never completes exceptionally: it has the value, or on the left the HTTP status,
      * {@link #NOT_SENT}, {@link #NO_VALID_ANSWER} or {@link #TOO_LARGE}. Must be called at most once.
@@ -147,7 +159,9 @@
     public void started(int value, List<Header> headers) {
         status = value;
         responseHeaders = headers;
-        if (announcedBytes(headers) > maxBodyBytes) {
+        long announced = announcedBytes(headers);
+        notifyIfLarge(announced);
+        if (announced > maxBodyBytes) {
             result.complete(Either.left(TOO_LARGE));
         }
     }
@@ -157,6 +171,7 @@
         if (body.size() + bytes.length <= maxBodyBytes) {
             body.writeBytes(bytes);
             lastPartNanos = clock.nanoTime();
+            notifyIfLarge(body.size());
         } else {
             result.complete(Either.left(TOO_LARGE));
         }
@@ -164,7 +179,7 @@
 
     @Override
     public void ended() {
-        result.complete(status / STATUS_CLASS_SIZE == SUCCESS_STATUS_CLASS ? parseBody() : Either.left(status));
+        result.complete(isSuccess() ? parseBody() : Either.left(status));
     }
 
     @Override
@@ -172,6 +187,17 @@
         result.complete(Either.left(sent ? NO_VALID_ANSWER : NOT_SENT));
     }
 
+    private void notifyIfLarge(long bytes) {
+        if (bytes > largeBodyBytes && isSuccess()) {
+            largeBodyBytes = Long.MAX_VALUE;
+            whenLarge.run();
+        }
+    }
+
+    private boolean isSuccess() {
+        return status / STATUS_CLASS_SIZE == SUCCESS_STATUS_CLASS;
+    }
+
     /** Returns the length of the body that the header fields announce; 0 if they announce none. */
     private static long announcedBytes(List<Header> headers) {
         return headers.stream()
--- a/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
+++ b/ports/src/main/java/io/endiveshed/ports/platform/ObjectFeed.java
@@ -39,4 +39,13 @@
      * list of all objects are not read: the error is {@link StoreError#TOO_LARGE}, and the objects are to be listed.
      */
     CompletionStage<Either<StoreError, FeedBatch<T>>> watch(long afterVersion, Duration wait);
+
+    /**
+     * Watches like the other method, and runs the action as soon as the answer is known to have changes that take long to
+     * read. A feed that cannot tell does not run it.
+     */
+    default CompletionStage<Either<StoreError, FeedBatch<T>>> watch(
+            long afterVersion, Duration wait, Runnable whenLarge) {
+        return watch(afterVersion, wait);
+    }
 }
