Read answers of the own interface's platform while they make progress

Cause: HttpPlatform, by which entries, sidecars and the command line read configuration, claims and leases, also bounded the time of a whole answer (5 s). The expected list of 6 MB takes 4.9 s at 9.8 Mbit/s.

Change: its reading calls use ResponseTimeouts too. Writes keep the fixed timeout, as their requests are small and their outcome must be known in time.

--- a/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
+++ b/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
@@ -3,6 +3,7 @@
 import io.endiveshed.base.time.Scheduler;
 import io.endiveshed.net.http.HttpCall;
 import io.endiveshed.net.http.HttpClient;
+import io.endiveshed.net.http.ResponseTimeouts;
 import io.endiveshed.ports.platform.InstanceList;
 import io.endiveshed.ports.platform.ListedInstance;
 import io.endiveshed.ports.platform.ObjectKey;
@@ -29,6 +30,9 @@
  * }</pre>
  */
 public final class HttpPlatform implements ObjectStore, InstanceList {
+    /** Minimum rate in bytes per second at which a large answer must arrive; a slower connection counts as lost. */
+    private static final int MIN_BYTES_PER_SECOND = 64 * 1024;
+
     private static final byte[] NO_BODY = {};
     private static final Header JSON = new Header("content-type", "application/json");
 
@@ -36,7 +40,10 @@
     private final Scheduler scheduler;
     private final Duration callTimeout;
 
-    /** Creates a client whose calls fail after the timeout; the timeout of a watch is its wait plus this timeout. */
+    /**
+     * Creates a client whose calls fail after the timeout, and a watch after its wait and the timeout. A reading call whose
+     * answer still arrives then goes on until it pauses for this time, see {@link ResponseTimeouts}.
+     */
     public HttpPlatform(HttpClient client, Scheduler scheduler, Duration callTimeout) {
         this.client = Objects.requireNonNull(client);
         this.scheduler = Objects.requireNonNull(scheduler);
@@ -93,7 +100,8 @@
     }
 
     private <T> CompletionStage<Either<Integer, T>> read(String path, Duration timeout, Function<byte[], T> parser) {
-        return new HttpCall<>(parser).send(client, scheduler, timeout, "GET", path, List.of(), NO_BODY);
+        ResponseTimeouts timeouts = ResponseTimeouts.progressing(timeout, callTimeout, MIN_BYTES_PER_SECOND);
+        return new HttpCall<>(parser).send(client, scheduler, timeouts, "GET", path, List.of(), NO_BODY);
     }
 
     private CompletionStage<Either<StoreError, ObjectVersion>> put(ObjectKey key, Header condition, byte[] value) {
