Simplify the timeouts by progress, and log only answers that had begun

HttpCall no longer logs a call of which nothing has arrived: a silent store or engine is shown by store.lost and by the attempts already, and each repeated call would add a line.

No other change of behaviour.

--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -144,7 +144,7 @@
         if (remainingNanos > 0) {
             scheduler.schedule(
                     Duration.ofNanos(remainingNanos), () -> checkProgress(scheduler, timeouts, startNanos, request));
-        } else if (result.complete(Either.left(NO_VALID_ANSWER))) {
+        } else if (result.complete(Either.left(NO_VALID_ANSWER)) && body.size() > 0) {
             Logger.warn(
                     "the response to {} was not complete after {} ms: {} bytes of its body arrived, the last ones {} ms"
                             + " ago",
--- a/net/src/main/java/io/endiveshed/net/http/ResponseTimeouts.java
+++ b/net/src/main/java/io/endiveshed/net/http/ResponseTimeouts.java
@@ -9,7 +9,7 @@
  * with a small one.
  *
  * <pre>{@code
- * ResponseTimeouts timeouts = ResponseTimeouts.progressing(Duration.ofMillis(700), Duration.ofMillis(700), 64 * 1024);
+ * ResponseTimeouts timeouts = ResponseTimeouts.progressing(Duration.ofSeconds(2), Duration.ofMillis(700));
  * }</pre>
  *
  * @param response time after the start of the call from which the body must make progress
@@ -17,6 +17,9 @@
  * @param minBytesPerSecond minimum average rate of the body from then on, in bytes per second
  */
 public record ResponseTimeouts(Duration response, Duration pause, int minBytesPerSecond) {
+    /** Minimum average rate in bytes per second, unless another one is given; a slower connection counts as lost. */
+    private static final int DEFAULT_MIN_BYTES_PER_SECOND = 64 * 1024;
+
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
     /** Throws {@link IllegalArgumentException} if a time is negative or the rate is not positive. */
@@ -33,8 +36,8 @@
     }
 
     /** Returns timeouts of a response whose body may take longer while it makes progress. */
-    public static ResponseTimeouts progressing(Duration response, Duration pause, int minBytesPerSecond) {
-        return new ResponseTimeouts(response, pause, minBytesPerSecond);
+    public static ResponseTimeouts progressing(Duration response, Duration pause) {
+        return new ResponseTimeouts(response, pause, DEFAULT_MIN_BYTES_PER_SECOND);
     }
 
     /**
--- a/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
+++ b/net/src/main/java/io/endiveshed/net/platform/HttpPlatform.java
@@ -30,9 +30,6 @@
  * }</pre>
  */
 public final class HttpPlatform implements ObjectStore, InstanceList {
-    /** Minimum rate in bytes per second at which a large answer must arrive; a slower connection counts as lost. */
-    private static final int MIN_BYTES_PER_SECOND = 64 * 1024;
-
     private static final byte[] NO_BODY = {};
     private static final Header JSON = new Header("content-type", "application/json");
 
@@ -100,7 +97,7 @@
     }
 
     private <T> CompletionStage<Either<Integer, T>> read(String path, Duration timeout, Function<byte[], T> parser) {
-        ResponseTimeouts timeouts = ResponseTimeouts.progressing(timeout, callTimeout, MIN_BYTES_PER_SECOND);
+        ResponseTimeouts timeouts = ResponseTimeouts.progressing(timeout, callTimeout);
         return new HttpCall<>(parser).send(client, scheduler, timeouts, "GET", path, List.of(), NO_BODY);
     }
 
--- a/net/src/test/java/io/endiveshed/net/http/ResponseTimeoutsTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/ResponseTimeoutsTest.java
@@ -11,7 +11,7 @@
 final class ResponseTimeoutsTest {
     private static final int MEGABYTE = 1_000_000;
     private static final ResponseTimeouts TIMEOUTS =
-            ResponseTimeouts.progressing(Duration.ofMillis(700), Duration.ofMillis(700), 50_000);
+            new ResponseTimeouts(Duration.ofMillis(700), Duration.ofMillis(700), 50_000);
 
     /** Guards against a silent server that is noticed later because large bodies may take longer. */
     @Test
