--- a/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/FeedFollower.java
@@ -23,8 +23,7 @@
 /**
  * Follows the store's objects of one kind: lists them, watches for changes, and lists them again when the store no
  * longer keeps the changes since the last known version, when these take more than a list, or when the store has come
- * back from an older copy. Versions are given out
- * again then, so a watch from one of a former era may miss changes.
+ * back from an older copy. Versions are given out again then, so a watch from one of a former era may miss changes.
  *
  * <p>Confined to one event loop. The objects count as confirmed at the start of the call that succeeded, not at its
  * end, because a watch that waits on a dead connection confirms nothing. What is read from an older copy of the store
--- a/net/src/main/java/io/endiveshed/net/http/ResponseTimeouts.java
+++ b/net/src/main/java/io/endiveshed/net/http/ResponseTimeouts.java
@@ -3,10 +3,9 @@
 import java.time.Duration;
 
 /**
- * Times within which the response to a call must arrive. A call fails if its response is not complete after the timeout
- * of the response, unless the body still arrives: without a pause of the timeout of a pause, and at the minimum rate. A
- * large body on a slow link therefore gets the time that it needs, and a server that stops sending is noticed as soon as
- * with a small one.
+ * Times within which the response to a call must arrive. After the response timeout, an incomplete response fails unless
+ * its body makes progress: no pause exceeds the pause timeout, and the average rate is not below the minimum. A large body
+ * on a slow link therefore gets the time that it needs, and a server that stops sending is noticed.
  *
  * <pre>{@code
  * ResponseTimeouts timeouts = ResponseTimeouts.progressing(Duration.ofSeconds(2), Duration.ofMillis(700));
