--- a/review/src-3/Store.java
+++ b/review/src-3/Store.java
@@ -24,13 +24,17 @@
     private static final Pattern SPECIFICATION = Pattern.compile("\"specification\":(.*)}\\s*$", Pattern.DOTALL);
     private static final Pattern NAME = Pattern.compile("\"name\":\"([^\"]+)\"");
 
-    private record Change(long revision, String kind, String object, boolean deleted) {}
+    /** Time for which changes are kept, historyS of the settings. */
+    private static final long HISTORY_NANOS = 20_000_000_000L;
+
+    private record Change(long revision, String kind, String object, boolean deleted, long atNanos) {}
 
     private final ServerSocket socket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     private final Map<String, TreeMap<String, String>> kinds = new HashMap<>();
     private final List<Change> history = new ArrayList<>();
     private final Map<Socket, Boolean> connections = new ConcurrentHashMap<>();
     private long revision = 100;
+    private long droppedRevision;
     private volatile boolean isSilent;
 
     Store() throws IOException {
@@ -56,7 +60,7 @@
                 + ",\"created\":1,\"finalizers\":[],\"deletionPending\":false},\"specification\":" + specification
                 + ",\"status\":null}";
         objects(kind).put(name, object);
-        history.add(new Change(revision, kind, object, false));
+        add(new Change(revision, kind, object, false, System.nanoTime()));
         notifyAll();
     }
 
@@ -64,11 +68,18 @@
         String object = objects(kind).remove(name);
         if (object != null) {
             revision++;
-            history.add(new Change(revision, kind, object, true));
+            add(new Change(revision, kind, object, true, System.nanoTime()));
             notifyAll();
         }
     }
 
+    private void add(Change change) {
+        history.add(change);
+        while (change.atNanos - history.get(0).atNanos > HISTORY_NANOS) {
+            droppedRevision = history.remove(0).revision;
+        }
+    }
+
     private TreeMap<String, String> objects(String kind) {
         return kinds.computeIfAbsent(kind, key -> new TreeMap<>());
     }
@@ -155,6 +166,9 @@
     private synchronized String watch(String kind, long since, long waitMillis) {
         long end = System.nanoTime() + waitMillis * 1_000_000;
         while (true) {
+            if (since < droppedRevision) {
+                return "410{}";
+            }
             List<String> events = history.stream()
                     .filter(change -> change.revision > since && change.kind.equals(kind))
                     .map(change -> "{\"deleted\":" + change.deleted + ",\"object\":" + change.object + "}")
