--- a/review/src-3/Entry.java
+++ b/review/src-3/Entry.java
@@ -147,10 +147,15 @@
         }
     }
 
+    /** Kills the process, which can be started again. */
+    void kill() {
+        process.destroyForcibly().onExit().join();
+    }
+
     @Override
     public void close() {
         if (process != null) {
-            process.destroyForcibly().onExit().join();
+            kill();
         }
     }
 }
