--- a/review/src-3/Entry.java
+++ b/review/src-3/Entry.java
@@ -12,6 +12,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One entry process, started in the repository's root with the command of deploy/system.toml. */
 final class Entry implements AutoCloseable {
@@ -57,6 +58,27 @@
                         ""));
     }
 
+    /** Returns a new temporary folder, which is removed when this process ends. */
+    static Path newFolder() throws IOException {
+        Path folder = Files.createTempDirectory("review-");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> remove(folder)));
+        return folder;
+    }
+
+    /** Removes a folder; the last lines of a log may still be written to it meanwhile. */
+    private static void remove(Path folder) {
+        for (int attempt = 0; attempt < 20 && Files.exists(folder); attempt++) {
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+                Files.delete(folder);
+            } catch (IOException e) {
+                Threads.sleep(50);
+            }
+        }
+    }
+
     int callersPort() {
         return callersPort;
     }
--- a/review/src-3/LargeOddEntries.java
+++ b/review/src-3/LargeOddEntries.java
@@ -39,7 +39,7 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path directory = Files.createTempDirectory("review-");
+        Path directory = Entry.newFolder();
         List<Runner> alive = new CopyOnWriteArrayList<>();
         boolean isBroken;
         try (Record record = new Record(Path.of(arguments[0], "record.txt"));
--- a/review/src-3/RepeatedInBody.java
+++ b/review/src-3/RepeatedInBody.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,7 +29,7 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path directory = Files.createTempDirectory("review-");
+        Path directory = Entry.newFolder();
         AtomicInteger broken = new AtomicInteger();
         AtomicInteger truncated = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
--- a/review/src-3/SlowLogReader.java
+++ b/review/src-3/SlowLogReader.java
@@ -1,4 +1,3 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +23,7 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path directory = Files.createTempDirectory("review-");
+        Path directory = Entry.newFolder();
         AtomicInteger answered = new AtomicInteger();
         AtomicInteger open = new AtomicInteger();
         AtomicInteger late = new AtomicInteger();
