--- a/review/src-3/Client.java
+++ b/review/src-3/Client.java
@@ -53,11 +53,11 @@
             }
             byte[] content = Http.readResponseBody(head, in);
             if ("close".equalsIgnoreCase(head.field("Connection"))) {
-                close();
+                disconnect();
             }
             return new Result(attempt, head.status(), head.field("Response-Signature"), content, "", since(start));
         } catch (IOException e) {
-            close();
+            disconnect();
             return new Result(attempt, 0, null, new byte[0], e.getMessage(), since(start));
         }
     }
@@ -66,11 +66,16 @@
         return (System.nanoTime() - startNanos) / 1_000_000;
     }
 
-    @Override
-    public void close() {
+    /** Closes the connection; the next request opens a new one. */
+    void disconnect() {
         if (socket != null) {
             Threads.close(socket);
             socket = null;
         }
     }
+
+    @Override
+    public void close() {
+        disconnect();
+    }
 }
