Use bookings in the review cases 12 and 15, and a longer odd entry in 12

The odd entry of case 12 has 6 KB, as a shorter warning may still fit into the last page of a full pipe. Checks and bounds are unchanged.

--- a/review/src-3/ChunkCrowd.java
+++ b/review/src-3/ChunkCrowd.java
@@ -57,7 +57,7 @@
                     1,
                     "\"key-1\"",
                     Config.service("app"),
-                    Config.route("status", "/status/", "idempotent", ROUTE_TIMEOUT_MILLIS, 2, "app")));
+                    Config.route("booking", "/booking/", "non_idempotent", ROUTE_TIMEOUT_MILLIS, 1, "app")));
             List<Runner> runners = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 runners.add(new Runner("i-" + i, "app", (runner, head, connection) -> {
@@ -86,7 +86,7 @@
                     try (Client client = new Client(entry.callersPort(), CLIENT_TIMEOUT_MILLIS)) {
                         while (millisSince(start) < CALM_MILLIS + CROWD_MILLIS) {
                             long sent = millisSince(start);
-                            Client.Result result = client.call("GET", "/status/x", "", new byte[0]);
+                            Client.Result result = client.call("POST", "/booking/x", "", new byte[600]);
                             boolean isServed = result.status() == 200 && result.millis() <= ROUTE_TIMEOUT_MILLIS;
                             if (sent < CALM_MILLIS) {
                                 calm.addAndGet(isServed ? 1 : 0);
@@ -159,7 +159,7 @@
                 socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CLIENT_TIMEOUT_MILLIS);
                 CROWD_CONNECTIONS.incrementAndGet();
                 OutputStream out = socket.getOutputStream();
-                out.write(Http.bytes("POST /status/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + Client.newAttempt()
+                out.write(Http.bytes("POST /booking/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + Client.newAttempt()
                         + "\r\nTransfer-Encoding: chunked\r\n\r\n"));
                 for (int sent = 0; sent + 1_000 < MAX_BODY_BYTES && !isStopped; sent += 1_000) {
                     awaitTurn();
--- a/review/src-3/SlowLogReader.java
+++ b/review/src-3/SlowLogReader.java
@@ -19,6 +19,9 @@
     private static final int CALM_MILLIS = 6_000;
     private static final int PAUSE_MILLIS = 15_000;
 
+    /** Longer than a page of memory: a shorter line may still fit into the last page of a pipe that is full. */
+    private static final String LONG_VALUE = "x".repeat(6_000);
+
     private SlowLogReader() {}
 
     public static void main(String[] arguments) throws Exception {
@@ -35,7 +38,7 @@
                     1,
                     "\"key-1\"",
                     Config.service("app"),
-                    Config.route("status", "/status/", "idempotent", ROUTE_TIMEOUT_MILLIS, 2, "app")));
+                    Config.route("booking", "/booking/", "non_idempotent", ROUTE_TIMEOUT_MILLIS, 1, "app")));
             List<Runner> runners = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 runners.add(new Runner("i-" + i, "app", (runner, head, connection) -> {
@@ -50,7 +53,7 @@
                     for (Runner runner : runners) {
                         runner.beat(store, "ready");
                     }
-                    store.put("servers", "other-writer", "{\"agent\":\"inventory\",\"beat\":" + beat + "}");
+                    store.put("servers", "other-writer", "{\"beat\":" + beat + ",\"version\":[\"" + LONG_VALUE + "\"]}");
                     Threads.sleep(HEARTBEAT_MILLIS);
                 }
             });
@@ -66,7 +69,7 @@
                     try (Client client = new Client(entry.callersPort(), CLIENT_TIMEOUT_MILLIS)) {
                         while (millisSince(start) < CALM_MILLIS + PAUSE_MILLIS) {
                             long sent = millisSince(start);
-                            Client.Result result = client.call("GET", "/status/x", "", new byte[0]);
+                            Client.Result result = client.call("POST", "/booking/x", "", new byte[600]);
                             boolean isInTime = result.status() != 0
                                     && result.millis() <= ROUTE_TIMEOUT_MILLIS + ANSWER_SLACK_MILLIS;
                             if (sent < CALM_MILLIS) {
