Fail a body that was completed with another response

Callers got 200 with the target's signature, the announced length, and a body of which the rest was head and body of the answer to another caller: a target broke off in a body and wrote a copy of an earlier answer on the connection.

Cause: the decoder fills a body with whatever bytes arrive, and only the last part of a body was searched for a status line, and only if bytes after the body had arrived with it. A head in an earlier part, a copy that fits into what is missing, one in a body without a length, and one cut at the end of a read were not seen. A copy shorter than the missing part was waited out until the deadline. Ruled out by a trial: the codec's chunk parsing, which rejects a response in the place of a chunk's frame.

Change: ResponseHeadScanner finds heads in a body that arrives in parts of any size and holds back what may become one. ResponseBodyGuard fails the body if a head names another request that this process sent, or repeats the response's own head, or if the body ends within a head, or within the body that a head announces, and the bytes that follow go on with it; it waits up to 50 ms for them. The head of the next response, or nothing, may follow a body that quotes a response; such a body is passed on. A response within a body is reported as response.discarded with the reason within_a_body.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -165,6 +165,7 @@
                                 Urgency.of(request),
                                 prepared.helpers(),
                                 lastEventId));
+        context.embeddedResponses().recordSent(request.caller().id());
         response = new TargetResponse(
                 this,
                 target,
@@ -177,6 +178,7 @@
                 .label(request.caller().id())
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
+                .embeddedResponseCheck(context.embeddedResponses().check())
                 .condition(() -> reasonNotToSend().isEmpty()
                         && prepared.tryAcquire(System.nanoTime(), context.cold()::tryAcquireRequest))
                 // A late copy of the first response of a target has the same id as its next one.
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayComponents.java
@@ -197,6 +197,7 @@
                         this::budget,
                         crashes,
                         new ResponseMemory(settings.responses()),
+                        new EmbeddedResponses(dialect),
                         metrics,
                         log),
                 startupQueue);
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/GatewayContext.java
@@ -30,6 +30,7 @@
  * @param budgets retry budget of each service
  * @param crashes targets that crash, and the requests under which they do
  * @param responseMemory memory of incomplete responses
+ * @param embeddedResponses recognizes responses within the bodies of others
  * @param metrics counters and histograms
  * @param log structured log
  */
@@ -48,5 +49,6 @@
         Function<ServiceName, AttemptBudget> budgets,
         CrashMonitor crashes,
         ResponseMemory responseMemory,
+        EmbeddedResponses embeddedResponses,
         GatewayMetrics metrics,
         EventLog log) {}
--- a/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
+++ b/gateway/src/test/java/io/endiveshed/gateway/internal/ForwardedRequestTest.java
@@ -208,6 +208,7 @@
                 service -> budget,
                 crashes,
                 new ResponseMemory(GatewaySettings.ResponseLimits.defaults()),
+                new EmbeddedResponses(new FakeDialect()),
                 metrics,
                 log);
         RouteRule route = RouteRule.builder("stream")
--- a/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
+++ b/net/src/main/java/io/endiveshed/net/http/DiscardedResponse.java
@@ -28,6 +28,9 @@
         /** The response broke off in its head, so that the bytes after it cannot be told from it. */
         INCOMPLETE,
 
+        /** The response began within the body of another one, which had broken off. */
+        WITHIN_A_BODY,
+
         /** The bytes are no HTTP response, or one with a status that HTTP does not define. */
         MALFORMED
     }
--- a/net/src/main/java/io/endiveshed/net/http/ExchangeOptions.java
+++ b/net/src/main/java/io/endiveshed/net/http/ExchangeOptions.java
@@ -20,12 +20,14 @@
 
     private final String label;
     private final Function<List<Header>, ResponseOwner> responseOwner;
+    private final EmbeddedResponseCheck embeddedResponseCheck;
     private final BooleanSupplier condition;
     private final boolean isOnNewConnection;
 
     private ExchangeOptions(Builder builder) {
         label = builder.label;
         responseOwner = builder.responseOwner;
+        embeddedResponseCheck = builder.embeddedResponseCheck;
         condition = builder.condition;
         isOnNewConnection = builder.isOnNewConnection;
     }
@@ -47,6 +49,10 @@
         return responseOwner;
     }
 
+    EmbeddedResponseCheck embeddedResponseCheck() {
+        return embeddedResponseCheck;
+    }
+
     BooleanSupplier condition() {
         return condition;
     }
@@ -59,6 +65,7 @@
     public static final class Builder {
         private String label = "";
         private Function<List<Header>, ResponseOwner> responseOwner = headers -> ResponseOwner.CURRENT_REQUEST;
+        private EmbeddedResponseCheck embeddedResponseCheck = (response, embedded) -> false;
         private BooleanSupplier condition = () -> true;
         private boolean isOnNewConnection;
 
@@ -76,6 +83,12 @@
             return this;
         }
 
+        /** Sets how to recognize another response within the body of a response; by default, none is recognized. */
+        public Builder embeddedResponseCheck(EmbeddedResponseCheck value) {
+            embeddedResponseCheck = value;
+            return this;
+        }
+
         /**
          * Sets a condition that is checked when the connection is open. If it does not hold, nothing is sent, and the
          * listener is told so.
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -121,6 +121,8 @@
         ExchangeOptions options = ExchangeOptions.builder()
                 .responseOwner(response ->
                         isOwnResponse.test(response) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
+                .embeddedResponseCheck(
+                        (response, embedded) -> isOwnResponse.test(response) != isOwnResponse.test(embedded))
                 .build();
         clock = scheduler;
         long startNanos = scheduler.nanoTime();
--- a/net/src/main/java/io/endiveshed/net/http/HttpClient.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpClient.java
@@ -98,8 +98,7 @@
                         ResponseDecoder decoder = new ResponseDecoder();
                         ClientConnection connection = new ClientConnection(options, decoder, whenDiscarded);
                         channel.pipeline()
-                                .addLast(new BytesArrivedHandler(
-                                        bytes -> connection.onBytesArrived(bytes.readableBytes())))
+                                .addLast(new BytesArrivedHandler(connection::onBytesArrived))
                                 .addLast(new InputEndHandler(connection::onInputEnded))
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
--- a/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpExchange.java
@@ -107,7 +107,12 @@
             return;
         }
         connectionRequests = acquired.requests() + 1;
-        acquired.begin(listener, options.label(), options.responseOwner(), reusable -> release(acquired, reusable));
+        acquired.begin(
+                listener,
+                options.label(),
+                options.responseOwner(),
+                options.embeddedResponseCheck(),
+                reusable -> release(acquired, reusable));
         acquired.write(buildRequest());
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -1,17 +1,18 @@
 package io.endiveshed.net.http.internal;
 
 import io.endiveshed.net.http.DiscardedResponse;
+import io.endiveshed.net.http.EmbeddedResponseCheck;
 import io.endiveshed.net.http.HttpClientOptions;
 import io.endiveshed.net.http.HttpResponseListener;
 import io.endiveshed.net.http.ResponseOwner;
 import io.endiveshed.protocol.Header;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -19,20 +20,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /** Client connection; passes a response to the listener of the request that uses the connection. */
 public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final String KEEP_ALIVE_FIELD = "Keep-Alive";
-    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}");
     private static final int FIRST_FINAL_STATUS = 200;
 
     /**
@@ -41,13 +36,22 @@
      */
     private static final int MAX_SKIPPED_BYTES = 256 * 1024;
 
-    private final HttpClientOptions options;
+    /**
+     * Time in milliseconds for which the end of a body that may have been completed with another response is held back,
+     * unless the rest of that response arrives earlier.
+     */
+    private static final long REST_WAIT_MILLIS = 50;
+
+    private final IdleLimit idleLimit;
     private final ResponseDecoder decoder;
     private final Consumer<DiscardedResponse> whenDiscarded;
     private ChannelHandlerContext context;
     private HttpResponseListener listener;
     private String requestLabel = "";
     private Function<List<Header>, ResponseOwner> responseOwner;
+    private EmbeddedResponseCheck embeddedResponseCheck;
+    private ResponseBodyGuard body;
+    private ScheduledFuture<?> restTimeout;
     private Consumer<Boolean> whenFinished;
     private boolean keepAlive;
     private boolean isSkippingResponse;
@@ -58,8 +62,6 @@
     private boolean hasUnexpectedBytes;
     private int skippedBytes;
     private int requests;
-    private long maxIdleMillis;
-    private long idleSinceNanos;
     private ScheduledFuture<?> idleTimeout;
 
     /**
@@ -71,11 +73,9 @@
      */
     public ClientConnection(
             HttpClientOptions options, ResponseDecoder decoder, Consumer<DiscardedResponse> whenDiscarded) {
-        this.options = options;
+        this.idleLimit = new IdleLimit(options);
         this.decoder = decoder;
         this.whenDiscarded = whenDiscarded;
-        this.maxIdleMillis = options.maxIdle().toMillis();
-        this.idleSinceNanos = System.nanoTime();
     }
 
     @Override
@@ -97,9 +97,7 @@
      * less than the maximum time, which ends before the server's idle timeout.
      */
     public boolean isUsable() {
-        return context.channel().isActive()
-                && listener == null
-                && TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos) < maxIdleMillis;
+        return context.channel().isActive() && listener == null && !idleLimit.isReached();
     }
 
     /**
@@ -108,12 +106,14 @@
      * @param newListener receives the response
      * @param label name of the request in reports on discarded responses
      * @param owner tells from the header fields of a response to which request it belongs
+     * @param check recognizes another response within the body of a response
      * @param finished called when the exchange has ended or failed, with whether the connection can be reused
      */
     public void begin(
             HttpResponseListener newListener,
             String label,
             Function<List<Header>, ResponseOwner> owner,
+            EmbeddedResponseCheck check,
             Consumer<Boolean> finished) {
         if (idleTimeout != null) {
             idleTimeout.cancel(false);
@@ -122,6 +122,8 @@
         listener = newListener;
         requestLabel = label;
         responseOwner = owner;
+        embeddedResponseCheck = check;
+        body = null;
         requests++;
         whenFinished = finished;
         isSkippingResponse = false;
@@ -136,12 +138,14 @@
      * Counts bytes that have arrived before the codec decodes them; {@link #channelRead0} takes back those of the
      * response to the current request.
      */
-    public void onBytesArrived(int length) {
+    public void onBytesArrived(ByteBuf bytes) {
         hasUnexpectedBytes |= listener == null;
-        skippedBytes += length;
+        skippedBytes += bytes.readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
-            fail("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
-            context.close();
+            failAndClose("more than " + MAX_SKIPPED_BYTES + " bytes arrived that are not part of the response");
+        } else if (restTimeout != null) {
+            keepAlive = false;
+            endOrAwaitRest(body.follow(ByteBufUtil.getBytes(bytes)));
         }
     }
 
@@ -178,7 +182,7 @@
 
     /** Closes the connection when it has been idle for the maximum time; calls the action before it closes. */
     public void closeAfterIdle(Consumer<ClientConnection> beforeClose) {
-        idleSinceNanos = System.nanoTime();
+        long maxIdleMillis = idleLimit.start();
         execute(() -> idleTimeout = context.executor()
                 .schedule(
                         () -> {
@@ -214,10 +218,46 @@
         }
         skippedBytes = 0;
         if (part instanceof HttpContent content && content.content().isReadable()) {
-            listener.received(ByteBufUtil.getBytes(content.content()));
+            receive(ByteBufUtil.getBytes(content.content()));
         }
-        if (part instanceof LastHttpContent last && listener != null) {
-            finishUnlessCutOff(last);
+        if (part instanceof LastHttpContent && listener != null) {
+            ResponseBodyGuard.Ending ending = body.ending();
+            boolean isFollowed = ending == ResponseBodyGuard.Ending.UNCERTAIN && decoder.hasUndecodedBytes();
+            endOrAwaitRest(isFollowed ? body.follow(decoder.undecodedBytes()) : ending);
+        }
+    }
+
+    /** Passes on what is known to be the response's own; fails as soon as another response begins within the body. */
+    private void receive(byte[] bytes) {
+        byte[] own = body.append(bytes);
+        if (own.length > 0) {
+            listener.received(own);
+        }
+        if (body.isInterrupted() && listener != null) {
+            failInterrupted();
+        }
+    }
+
+    private void failInterrupted() {
+        whenDiscarded.accept(new DiscardedResponse(
+                DiscardedResponse.Reason.WITHIN_A_BODY,
+                body.embeddedStatus(),
+                body.embeddedHeaders(),
+                requestLabel,
+                requests));
+        failAndClose("the response broke off in its body and another one followed");
+    }
+
+    /** Ends the exchange as far as the ending of the body is known; waits for bytes that may follow if it is not. */
+    private void endOrAwaitRest(ResponseBodyGuard.Ending ending) {
+        if (ending == ResponseBodyGuard.Ending.INTERRUPTED) {
+            failInterrupted();
+        } else if (ending == ResponseBodyGuard.Ending.WHOLE
+                || !context.channel().isActive()) {
+            finishUnlessCutOff();
+        } else if (restTimeout == null) {
+            restTimeout =
+                    context.executor().schedule(this::finishUnlessCutOff, REST_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -225,14 +265,11 @@
      * Ends the exchange at the last part of a response unless it was cut off. The codec also reports a last part of a
      * response without a length when the connection is closed by a failed write or by this process. The end of input
      * completes such a response only once the server has taken the whole request: a server that closes a connection with
-     * unread bytes resets it, and the end of its output may arrive before the reset. A body that ends within a head is
-     * cut off as well; only a body that is followed by further bytes is searched for one.
+     * unread bytes resets it, and the end of its output may arrive before the reset.
      */
-    private void finishUnlessCutOff(LastHttpContent last) {
-        if (decoder.hasUndecodedBytes() && containsStatusLine(last.content().toString(StandardCharsets.ISO_8859_1))) {
-            fail("the response broke off in its body and another one followed");
-            context.close();
-        } else if (inputEnded && !requestWritten) {
+    private void finishUnlessCutOff() {
+        cancelRestTimeout();
+        if (inputEnded && !requestWritten) {
             endAwaitsWrite = true;
         } else if (inputEnded || context.channel().isActive()) {
             finish();
@@ -265,24 +302,23 @@
 
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
-        List<Header> headers = headers(response.headers());
-        // Left by a server that breaks off in a head and goes on with the next response: the fields are of both.
-        if (containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(headers)) {
+        List<Header> headers = ResponseHeads.fields(response.headers());
+        if (ResponseHeads.isJoined(response, headers)) {
             discard(DiscardedResponse.Reason.INCOMPLETE, response);
-            fail("a response broke off in its head and another one followed");
-            context.close();
+            failAndClose("a response broke off in its head and another one followed");
             return false;
         }
         if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
             discard(DiscardedResponse.Reason.MALFORMED, response);
-            fail("HTTP does not define the status " + response.status().code());
-            context.close();
+            failAndClose("HTTP does not define the status " + response.status().code());
             return false;
         }
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkippingResponse = true;
             return false;
         }
+        body = new ResponseBodyGuard(
+                response.status().code(), headers, ResponseHeads.bodyLength(response), embeddedResponseCheck);
         ResponseOwner owner = responseOwner.apply(headers);
         if (owner == ResponseOwner.OTHER_REQUEST) {
             beginSkipping(DiscardedResponse.Reason.OTHER_REQUEST, response);
@@ -294,13 +330,12 @@
         }
         if (owner == ResponseOwner.UNKNOWN && requests > 1) {
             discard(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
-            fail("a response that names no request arrived on a connection that other requests have used");
-            context.close();
+            failAndClose("a response that names no request arrived on a connection that other requests have used");
             return false;
         }
         boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
         keepAlive = HttpUtil.isKeepAlive(response) && framed && owner == ResponseOwner.CURRENT_REQUEST;
-        adoptAnnouncedIdleTimeout(response.headers().get(KEEP_ALIVE_FIELD));
+        idleLimit.adopt(response.headers().get(KEEP_ALIVE_FIELD));
         listener.started(response.status().code(), headers);
         return true;
     }
@@ -315,9 +350,8 @@
     /** Ignores a part of a skipped response; fails if it contains the response to the current request. */
     private void skipPart(HttpObject part) {
         isSkippingResponse = !(part instanceof LastHttpContent);
-        if (part instanceof HttpContent content && containsStatusLine(content)) {
-            fail("a response broke off in its body and another one followed");
-            context.close();
+        if (part instanceof HttpContent content && ResponseHeads.containsStatusLine(content)) {
+            failAndClose("a response broke off in its body and another one followed");
         }
     }
 
@@ -325,39 +359,23 @@
     private void discard(DiscardedResponse.Reason reason, HttpObject part) {
         if (part instanceof HttpResponse response) {
             whenDiscarded.accept(new DiscardedResponse(
-                    reason, response.status().code(), headers(response.headers()), requestLabel, requests));
-        }
-    }
-
-    private static boolean containsStatusLine(HttpContent part) {
-        return containsStatusLine(part.content().toString(StandardCharsets.ISO_8859_1))
-                || (part instanceof LastHttpContent last && containsStatusLine(headers(last.trailingHeaders())));
-    }
-
-    private static boolean containsStatusLine(List<Header> headers) {
-        return headers.stream().anyMatch(header -> containsStatusLine(header.value()));
-    }
-
-    private static boolean containsStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
-    }
-
-    private void adoptAnnouncedIdleTimeout(String keepAliveHeader) {
-        if (keepAliveHeader == null) {
-            return;
-        }
-        Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAliveHeader);
-        if (matcher.find()) {
-            long announced = TimeUnit.SECONDS.toMillis(Long.parseLong(matcher.group(1)));
-            long usable = announced - options.keepAliveMargin().toMillis();
-            maxIdleMillis = Math.max(0, Math.min(options.maxIdle().toMillis(), usable));
+                    reason,
+                    response.status().code(),
+                    ResponseHeads.fields(response.headers()),
+                    requestLabel,
+                    requests));
         }
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof ChannelInputShutdownEvent && !endAwaitsWrite) {
-            ctx.close();
+        if (event instanceof ChannelInputShutdownEvent) {
+            if (restTimeout != null) {
+                finishUnlessCutOff();
+            }
+            if (!endAwaitsWrite) {
+                ctx.close();
+            }
         }
     }
 
@@ -377,24 +395,42 @@
         if (listener == null) {
             return;
         }
-        HttpResponseListener current = listener;
-        listener = null;
+        HttpResponseListener current = detachListener();
         whenFinished.accept(false);
         current.failed(true, message);
     }
 
-    private void finish() {
+    private void failAndClose(String message) {
+        fail(message);
+        context.close();
+    }
+
+    private void cancelRestTimeout() {
+        if (restTimeout != null) {
+            restTimeout.cancel(false);
+            restTimeout = null;
+        }
+    }
+
+    private HttpResponseListener detachListener() {
+        cancelRestTimeout();
         HttpResponseListener current = listener;
         listener = null;
+        return current;
+    }
+
+    private void finish() {
+        byte[] rest = body.rest();
+        if (rest.length > 0) {
+            listener.received(rest);
+        }
+        if (listener == null) {
+            return;
+        }
+        HttpResponseListener current = detachListener();
         hasUnexpectedBytes = decoder.hasUndecodedBytes();
         boolean isClean = !staleResponseSeen && !hasUnexpectedBytes;
         whenFinished.accept(keepAlive && isClean && context.channel().isActive());
         current.ended();
     }
-
-    private static List<Header> headers(HttpHeaders fields) {
-        List<Header> headers = new ArrayList<>();
-        fields.forEach(entry -> headers.add(new Header(entry.getKey(), entry.getValue())));
-        return headers;
-    }
 }
--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseDecoder.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package io.endiveshed.net.http.internal;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -21,6 +22,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns the bytes that have arrived and are no complete part of a response. */
+    byte[] undecodedBytes() {
+        return ByteBufUtil.getBytes(internalBuffer());
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage response) {
         return requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(response);
--- a/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/HttpClientTest.java
@@ -10,11 +10,8 @@
 import io.vavr.control.Either;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.Writer;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -34,8 +31,6 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
     private static final int WAIT_SECONDS = 10;
 
-    private static final int SERVER_RECEIVE_BUFFER_BYTES = 64 * 1024;
-
     /** More than the socket buffers of a loopback connection hold, so that a part of the body remains unwritten. */
     private static final int LONG_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -229,7 +224,7 @@
     }
 
     /** Returns how an exchange ends whose server sends a part of an answer without a length and then runs a script. */
-    private String outcomeOfPost(int bodyBytes, ConnectionScript afterPart) throws Exception {
+    private String outcomeOfPost(int bodyBytes, RawServer.Script afterPart) throws Exception {
         OutcomeListener listener = new OutcomeListener();
         try (RawServer server = answerWithoutLength(listener, afterPart)) {
             post(server, bodyBytes, listener);
@@ -238,7 +233,7 @@
     }
 
     /** Starts a server that runs the script once a part of its answer without a length has reached the listener. */
-    private static RawServer answerWithoutLength(OutcomeListener listener, ConnectionScript afterPart)
+    private static RawServer answerWithoutLength(OutcomeListener listener, RawServer.Script afterPart)
             throws IOException {
         return new RawServer((socket, input) -> {
             readHead(input);
@@ -337,61 +332,4 @@
             outcome.complete("failed");
         }
     }
-
-    /** Serves one connection. */
-    private interface ConnectionScript {
-        void serve(Socket socket, BufferedReader input) throws IOException;
-    }
-
-    /** Server on a loopback socket whose script writes raw bytes. */
-    private static final class RawServer implements AutoCloseable {
-        private final ServerSocket server = new ServerSocket();
-        private final Thread acceptor;
-
-        RawServer(ConnectionScript script) throws IOException {
-            server.setReceiveBufferSize(SERVER_RECEIVE_BUFFER_BYTES);
-            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            acceptor = new Thread(() -> accept(script), "raw-server");
-            acceptor.setDaemon(true);
-            acceptor.start();
-        }
-
-        InetSocketAddress address() {
-            return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-            try {
-                // The kernel keeps the port open until the thread that waits in accept has returned.
-                acceptor.join();
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
-        private void accept(ConnectionScript script) {
-            while (!server.isClosed()) {
-                try {
-                    Socket socket = server.accept();
-                    Thread connection = new Thread(() -> serve(script, socket), "raw-server-connection");
-                    connection.setDaemon(true);
-                    connection.start();
-                } catch (IOException e) {
-                    return;
-                }
-            }
-        }
-
-        private static void serve(ConnectionScript script, Socket socket) {
-            try (socket) {
-                script.serve(
-                        socket,
-                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)));
-            } catch (IOException e) {
-                // The client has closed the connection.
-            }
-        }
-    }
 }
