Do not relay an event that another response completes

Callers received an event of which the rest was the head of an answer to another caller, with that caller's id and signature, and the stream went on after it at another target: a target broke off in an event and wrote a copy of an earlier answer on the connection.

Cause: the empty line after the head of the copy ends the event for SseEventSplitter, and events are relayed as they arrive. The ids are right, as the id of the event came before the break.

Change: the check for responses within bodies knows streams. Each line of an event is a field of the event stream, so a status line within an event that is followed by other fields begins a response, whether it names a request or not. ResponseHeadScanner holds back the bytes from the status line on, so nothing of them is relayed; the stream is resumed or aborted as after any break. Lines of a quoted exchange are within data fields and are passed on.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EmbeddedResponses.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EmbeddedResponses.java
@@ -5,6 +5,7 @@
 import io.endiveshed.protocol.Header;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Tells responses of targets that begin within the body of another response from bodies that quote one. Confined to one
@@ -13,13 +14,16 @@
  * <pre>{@code
  * EmbeddedResponses embedded = new EmbeddedResponses(dialect);
  * embedded.recordSent(requestId);
- * ExchangeOptions.builder().embeddedResponseCheck(embedded.check());
+ * ExchangeOptions.builder().embeddedResponseCheck(embedded.checkFor(isStreaming));
  * }</pre>
  */
 final class EmbeddedResponses {
     /** Number of requests sent last whose responses are recognized; targets repeat responses within seconds. */
     private static final int RECENT_REQUESTS = 8192;
 
+    /** Fields of an event; a response that an event quotes has its lines within such fields. */
+    private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry");
+
     private final RequestDialect dialect;
 
     /** Hashes of ids, as the length of an id is up to the caller. */
@@ -38,8 +42,12 @@
     }
 
     /** Returns the check for the response to a request. */
-    EmbeddedResponseCheck check() {
-        return this::namesOtherRequest;
+    EmbeddedResponseCheck checkFor(boolean isStreaming) {
+        return isStreaming ? EmbeddedResponses::hasOtherThanEventFields : this::namesOtherRequest;
+    }
+
+    private static boolean hasOtherThanEventFields(List<Header> response, List<Header> embedded) {
+        return embedded.stream().anyMatch(field -> !EVENT_FIELDS.contains(field.name()));
     }
 
     private boolean namesOtherRequest(List<Header> response, List<Header> embedded) {
--- a/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/ForwardedRequest.java
@@ -165,20 +165,15 @@
                                 Urgency.of(request),
                                 prepared.helpers(),
                                 lastEventId));
+        boolean isStreaming = request.route().kind() == RouteKind.STREAMING;
         context.embeddedResponses().recordSent(request.caller().id());
-        response = new TargetResponse(
-                this,
-                target,
-                context.dialect(),
-                request.route().kind() == RouteKind.STREAMING,
-                relay,
-                context.responseMemory());
+        response = new TargetResponse(this, target, context.dialect(), isStreaming, relay, context.responseMemory());
         TargetResponse current = response;
         ExchangeOptions options = ExchangeOptions.builder()
                 .label(request.caller().id())
                 .responseOwner(
                         head -> context.dialect().responseOwner(request.caller().id(), head))
-                .embeddedResponseCheck(context.embeddedResponses().check())
+                .embeddedResponseCheck(context.embeddedResponses().checkFor(isStreaming))
                 .condition(() -> reasonNotToSend().isEmpty()
                         && prepared.tryAcquire(System.nanoTime(), context.cold()::tryAcquireRequest))
                 // A late copy of the first response of a target has the same id as its next one.
