Search discarded bodies for the current response, not for status lines

A request was answered with 502 and may have run, as a discarded copy of an earlier answer quoted a status line; its own answer followed whole. And a request waited for its deadline, as its answer was read as the rest of a discarded body that had broken off, if the status line came in two reads.

Cause: each part of a discarded body was searched for a status line by itself: any quote counted, and a line in two parts did not.

Change: discarded bodies pass through the same ResponseBodyGuard as others. A head in them fails the request if it names a request of this process other than the one of the discarded response, in whatever parts it arrives. The text search is left for heads only.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -347,11 +347,14 @@
         staleResponseSeen = true;
     }
 
-    /** Ignores a part of a skipped response; fails if it contains the response to the current request. */
+    /** Ignores a part of a skipped response; fails if the response to the current request has begun in its body. */
     private void skipPart(HttpObject part) {
         isSkippingResponse = !(part instanceof LastHttpContent);
-        if (part instanceof HttpContent content && ResponseHeads.containsStatusLine(content)) {
-            failAndClose("a response broke off in its body and another one followed");
+        if (part instanceof HttpContent content && body != null) {
+            body.append(ByteBufUtil.getBytes(content.content()));
+            if (body.isInterrupted()) {
+                failInterrupted();
+            }
         }
     }
 
--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeads.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeads.java
@@ -1,12 +1,9 @@
 package io.endiveshed.net.http.internal;
 
 import io.endiveshed.protocol.Header;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
@@ -36,17 +33,8 @@
      * response leaves one, and the fields are of both.
      */
     static boolean isJoined(HttpResponse response, List<Header> headers) {
-        return containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(headers);
-    }
-
-    /** Returns whether a part of a body, or a trailer field, contains a status line. */
-    static boolean containsStatusLine(HttpContent part) {
-        return containsStatusLine(part.content().toString(StandardCharsets.ISO_8859_1))
-                || (part instanceof LastHttpContent last && containsStatusLine(fields(last.trailingHeaders())));
-    }
-
-    private static boolean containsStatusLine(List<Header> headers) {
-        return headers.stream().anyMatch(header -> containsStatusLine(header.value()));
+        return containsStatusLine(response.status().reasonPhrase())
+                || headers.stream().anyMatch(header -> containsStatusLine(header.value()));
     }
 
     private static boolean containsStatusLine(String text) {
--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -167,6 +167,32 @@
         }
     }
 
+    /** Guards against a request that fails because a discarded response before its answer quotes a status line. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "UNTIL_CLOSE")
+    void answerAfterADiscardedResponseWithAQuoteIsPassedOn(Framing framing) throws Exception {
+        for (String quote : QUOTES) {
+            if (quote.contains("Id: second")) {
+                continue;
+            }
+            String written = framing.response("first", quote) + Framing.LENGTH.response("second", BODY);
+            assertThat(run(new Exchange(written, List.of(BODY), SEGMENT_BYTES))).isEqualTo(Optional.of(BODY));
+        }
+    }
+
+    /** Guards against a request that is held until its deadline because its answer is read as a discarded body. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "UNTIL_CLOSE")
+    void answerWithinADiscardedBodyFailsAtOnce(Framing framing) throws Exception {
+        String discarded = framing.response("first", BODY.repeat(20));
+        String cutInBody = discarded.substring(0, discarded.length() / 2);
+        for (int segmentBytes : List.of(1, Integer.MAX_VALUE)) {
+            String written = cutInBody + Framing.LENGTH.response("second", BODY);
+            assertThat(run(new Exchange(written, List.of(), segmentBytes, true)))
+                    .isEqualTo(Optional.empty());
+        }
+    }
+
     /** Adds an exchange for each byte of a response before which the server may break off. */
     private static void addCuts(List<Exchange> exchanges, String response, String other) {
         for (int cut = 1; cut < response.length(); cut++) {
