Move the decision on a response's head out of ClientConnection

HeadDecision now tells from head, owner and use of the connection whether a response is passed on, skipped or fails the exchange; the checks and their order are unchanged.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ClientConnection.java
@@ -15,8 +15,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -28,7 +26,6 @@
 /** Client connection; passes a response to the listener of the request that uses the connection. */
 public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final String KEEP_ALIVE_FIELD = "Keep-Alive";
-    private static final int FIRST_FINAL_STATUS = 200;
 
     /**
      * Maximum number of bytes that may arrive without being part of the response to the current request: interim
@@ -123,7 +120,6 @@
         requestLabel = label;
         responseOwner = owner;
         embeddedResponseCheck = check;
-        body = null;
         requests++;
         whenFinished = finished;
         isSkippingResponse = false;
@@ -239,12 +235,7 @@
     }
 
     private void failInterrupted() {
-        whenDiscarded.accept(new DiscardedResponse(
-                DiscardedResponse.Reason.WITHIN_A_BODY,
-                body.embeddedStatus(),
-                body.embeddedHeaders(),
-                requestLabel,
-                requests));
+        report(DiscardedResponse.Reason.WITHIN_A_BODY, body.embeddedStatus(), body.embeddedHeaders());
         failAndClose("the response broke off in its body and another one followed");
     }
 
@@ -293,8 +284,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (listener == null && hasUnexpectedBytes) {
             hasUnexpectedBytes = false;
-            whenDiscarded.accept(
-                    new DiscardedResponse(DiscardedResponse.Reason.INCOMPLETE, 0, List.of(), requestLabel, requests));
+            report(DiscardedResponse.Reason.INCOMPLETE, 0, List.of());
             ctx.close();
         }
         ctx.fireChannelReadComplete();
@@ -303,34 +293,18 @@
     /** Passes the head of a response to the listener; returns false if the response is to be skipped. */
     private boolean accept(HttpResponse response) {
         List<Header> headers = ResponseHeads.fields(response.headers());
-        if (ResponseHeads.isJoined(response, headers)) {
-            discard(DiscardedResponse.Reason.INCOMPLETE, response);
-            failAndClose("a response broke off in its head and another one followed");
-            return false;
-        }
-        if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
-            discard(DiscardedResponse.Reason.MALFORMED, response);
-            failAndClose("HTTP does not define the status " + response.status().code());
-            return false;
-        }
-        if (response.status().code() < FIRST_FINAL_STATUS) {
-            isSkippingResponse = true;
+        ResponseOwner owner = responseOwner.apply(headers);
+        HeadDecision decision = HeadDecision.of(response, headers, owner, requests);
+        decision.reason().ifPresent(reason -> discard(reason, response));
+        if (decision.action() == HeadDecision.Action.FAIL) {
+            failAndClose(decision.message());
             return false;
         }
         body = new ResponseBodyGuard(
                 response.status().code(), headers, ResponseHeads.bodyLength(response), embeddedResponseCheck);
-        ResponseOwner owner = responseOwner.apply(headers);
-        if (owner == ResponseOwner.OTHER_REQUEST) {
-            beginSkipping(DiscardedResponse.Reason.OTHER_REQUEST, response);
-            return false;
-        }
-        if (owner == ResponseOwner.UNKNOWN && !HttpResponseStatus.BAD_REQUEST.equals(response.status())) {
-            beginSkipping(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
-            return false;
-        }
-        if (owner == ResponseOwner.UNKNOWN && requests > 1) {
-            discard(DiscardedResponse.Reason.NAMES_NO_REQUEST, response);
-            failAndClose("a response that names no request arrived on a connection that other requests have used");
+        isSkippingResponse = decision.action() != HeadDecision.Action.PASS_ON;
+        staleResponseSeen |= decision.action() == HeadDecision.Action.SKIP;
+        if (isSkippingResponse) {
             return false;
         }
         boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
@@ -340,17 +314,10 @@
         return true;
     }
 
-    /** Ignores a response of another request, while the current request waits for its own. */
-    private void beginSkipping(DiscardedResponse.Reason reason, HttpResponse response) {
-        discard(reason, response);
-        isSkippingResponse = true;
-        staleResponseSeen = true;
-    }
-
     /** Ignores a part of a skipped response; fails if the response to the current request has begun in its body. */
     private void skipPart(HttpObject part) {
         isSkippingResponse = !(part instanceof LastHttpContent);
-        if (part instanceof HttpContent content && body != null) {
+        if (part instanceof HttpContent content) {
             body.append(ByteBufUtil.getBytes(content.content()));
             if (body.isInterrupted()) {
                 failInterrupted();
@@ -361,15 +328,14 @@
     /** Reports the head of a response that is not passed to a listener; the parts of its body are not reported. */
     private void discard(DiscardedResponse.Reason reason, HttpObject part) {
         if (part instanceof HttpResponse response) {
-            whenDiscarded.accept(new DiscardedResponse(
-                    reason,
-                    response.status().code(),
-                    ResponseHeads.fields(response.headers()),
-                    requestLabel,
-                    requests));
+            report(reason, response.status().code(), ResponseHeads.fields(response.headers()));
         }
     }
 
+    private void report(DiscardedResponse.Reason reason, int status, List<Header> headers) {
+        whenDiscarded.accept(new DiscardedResponse(reason, status, headers, requestLabel, requests));
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
