--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -113,6 +113,18 @@
         assertNoneIsCompletedWithAnother(exchanges);
     }
 
+    /** Guards against a copy on an interface whose responses name no request. */
+    @ParameterizedTest
+    @EnumSource
+    void responseWithoutAnIdIsNotCompletedWithItsOwnCopy(Framing framing) throws Exception {
+        List<Exchange> exchanges = new ArrayList<>();
+        String response = framing.response("", BODY);
+        addCuts(exchanges, response, response);
+        for (Exchange exchange : exchanges) {
+            assertThat(run(exchange, ExchangeOptions.defaults())).isIn(List.of(Optional.empty(), Optional.of(BODY)));
+        }
+    }
+
     /** Guards against a copy that fills exactly what is missing, so that nothing follows the body. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 100})
@@ -217,6 +229,10 @@
 
     /** Runs two requests on one connection; returns the body of the second response if it counts as whole. */
     private Optional<String> run(Exchange exchange) throws Exception {
+        return run(exchange, options("second"));
+    }
+
+    private Optional<String> run(Exchange exchange, ExchangeOptions secondOptions) throws Exception {
         try (RawServer server = new RawServer((socket, input) -> {
             socket.setTcpNoDelay(true);
             readHead(input);
@@ -235,15 +251,22 @@
             }
         })) {
             HttpClient client = new HttpClient(loops, server.address());
-            send(client, "first");
-            Optional<String> body = send(client, "second");
+            send(client, options("first"));
+            Optional<String> body = send(client, secondOptions);
             client.stop();
             return body;
         }
     }
 
-    private static Optional<String> send(HttpClient client, String id) throws Exception {
-        ExchangeOptions options = ExchangeOptions.builder()
+    private static Optional<String> send(HttpClient client, ExchangeOptions options) throws Exception {
+        BodyListener listener = new BodyListener();
+        client.send("GET", "/", List.of(), new byte[0], listener, options);
+        return listener.body.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Returns options for a request whose response names it, as the responses to all requests of the test do. */
+    private static ExchangeOptions options(String id) {
+        return ExchangeOptions.builder()
                 .responseOwner(headers -> name(headers)
                         .map(name -> name.equals(id) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
                         .orElse(ResponseOwner.UNKNOWN))
@@ -252,9 +275,6 @@
                                 .isPresent()
                         && !name(embedded).equals(name(response)))
                 .build();
-        BodyListener listener = new BodyListener();
-        client.send("GET", "/", List.of(), new byte[0], listener, options);
-        return listener.body.get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
     private static Optional<String> name(List<Header> headers) {
