--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -137,6 +137,17 @@
                 new Exchange(interrupted, List.of(), Integer.MAX_VALUE)));
     }
 
+    /** Guards against a copy whose last chunk ends the chunk and the body of the response that broke off. */
+    @Test
+    void chunkIsNotCompletedWithACopyThatEndsAsItDoes() throws Exception {
+        String end = "\r\n0\r\n\r\n";
+        String copy = Framing.ONE_CHUNK.response("first", "done");
+        String whole = Framing.ONE_CHUNK.response("second", "part" + copy.substring(0, copy.length() - end.length()));
+        assertThat(whole).endsWith(copy);
+        assertNoneIsCompletedWithAnother(List.of(
+                new Exchange(whole, List.of(), SEGMENT_BYTES), new Exchange(whole, List.of(), Integer.MAX_VALUE)));
+    }
+
     /** Guards against a copy that breaks off in its head, or begins with an interim response. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nSignature: s-fi", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"})
