--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeadScanner.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeadScanner.java
@@ -87,9 +87,11 @@
     /** Returns the index of the first byte from which on a head may begin; the length of the bytes if there is none. */
     private static int indexOfHead(byte[] bytes, int from) {
         for (int i = from; i < bytes.length; i++) {
-            int length = Math.min(STATUS_LINE_START.length, bytes.length - i);
-            if (Arrays.equals(bytes, i, i + length, STATUS_LINE_START, 0, length)) {
-                return i;
+            if (bytes[i] == STATUS_LINE_START[0]) {
+                int length = Math.min(STATUS_LINE_START.length, bytes.length - i);
+                if (Arrays.equals(bytes, i, i + length, STATUS_LINE_START, 0, length)) {
+                    return i;
+                }
             }
         }
         return bytes.length;
