Test that a response cut in its last chunk ends its connection

A copy after a response that breaks off between the digit of its last chunk and the final line could be read as a trailer section, and the rest of the copy arrive when the next request is under way. It is not: the codec rejects it, or bytes are left and the connection is closed.

--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -148,6 +149,29 @@
                 new Exchange(whole, List.of(), SEGMENT_BYTES), new Exchange(whole, List.of(), Integer.MAX_VALUE)));
     }
 
+    /** Guards against a request that fails because the rest of a copy arrives after it was sent. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7})
+    void connectionOfAResponseCutInItsLastChunkIsNotUsedAgain(int missingBytes) throws Exception {
+        String response = Framing.ONE_CHUNK.response("second", BODY);
+        String copy = Framing.LENGTH.response("first", BODY);
+        String interrupted = response.substring(0, response.length() - missingBytes);
+        AtomicInteger connections = new AtomicInteger();
+        try (RawServer server = new RawServer((socket, input) -> {
+            connections.incrementAndGet();
+            readHead(input);
+            socket.getOutputStream().write(bytes(interrupted + copy.substring(0, copy.length() - BODY.length())));
+            readHead(input);
+        })) {
+            HttpClient client = new HttpClient(loops, server.address());
+            Optional<String> body = send(client, options("second"));
+            send(client, options("second"));
+            client.stop();
+            assertThat(body).isIn(List.of(Optional.empty(), Optional.of(BODY)));
+            assertThat(connections.get()).isEqualTo(2);
+        }
+    }
+
     /** Guards against a copy that breaks off in its head, or begins with an interim response. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nSignature: s-fi", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"})
