Recognize another response whose head follows a part of a quoted one

Cause: ResponseHeadScanner read the status line of the copy as the value of the quoted field, and the fields of the copy as further fields of the quote. The quote had an id field of its own, which is read first, so the head did not name another request of this process.

Change: a status line at the end of a field's line begins another head.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeadScanner.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseHeadScanner.java
@@ -25,7 +25,8 @@
     /** Maximum length in bytes of a status line; a longer line that begins like one is text. */
     private static final int MAX_STATUS_LINE_BYTES = 128;
 
-    private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    private static final String PROTOCOL = "HTTP/1.";
+    private static final byte[] PROTOCOL_BYTES = PROTOCOL.getBytes(StandardCharsets.US_ASCII);
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] ([0-9]{3})(?: [^\\p{Cntrl}]*)?\r");
     private static final Pattern STATUS_LINE_PREFIX =
             Pattern.compile("HTTP/1\\.(?:[0-9](?: (?:[0-9]{0,2}|[0-9]{3}(?: [^\\p{Cntrl}]*)?\r?))?)?");
@@ -87,9 +88,9 @@
     /** Returns the index of the first byte from which on a head may begin; the length of the bytes if there is none. */
     private static int indexOfHead(byte[] bytes, int from) {
         for (int i = from; i < bytes.length; i++) {
-            if (bytes[i] == STATUS_LINE_START[0]) {
-                int length = Math.min(STATUS_LINE_START.length, bytes.length - i);
-                if (Arrays.equals(bytes, i, i + length, STATUS_LINE_START, 0, length)) {
+            if (bytes[i] == PROTOCOL_BYTES[0]) {
+                int length = Math.min(PROTOCOL_BYTES.length, bytes.length - i);
+                if (Arrays.equals(bytes, i, i + length, PROTOCOL_BYTES, 0, length)) {
                     return i;
                 }
             }
@@ -112,6 +113,13 @@
             if (lineEnd < held.length) {
                 String line = new String(held, lineStart, lineEnd - lineStart, StandardCharsets.ISO_8859_1);
                 boolean isStatusLine = status == 0;
+                int statusLine = isStatusLine ? 0 : indexOfStatusLine(line);
+                if (statusLine > 0) {
+                    // The head broke off within this field, and another one begins there.
+                    beginHead(lineStart + statusLine);
+                    start = lineStart;
+                    continue;
+                }
                 int next = lineEnd + 1;
                 isInHead = isStatusLine ? readStatusLine(line) : readField(line, next);
                 if (isStopped) {
@@ -149,6 +157,15 @@
         return unscanned < held.length ? unscanned++ : held.length;
     }
 
+    /** Returns the index in a line from which on it is a status line; negative if it contains none. */
+    private static int indexOfStatusLine(String line) {
+        int index = line.indexOf(PROTOCOL);
+        while (index >= 0 && !STATUS_LINE.matcher(line.substring(index)).matches()) {
+            index = line.indexOf(PROTOCOL, index + 1);
+        }
+        return index;
+    }
+
     private boolean isTooLong(int start) {
         return held.length - start > (status == 0 ? MAX_STATUS_LINE_BYTES : MAX_HEAD_BYTES);
     }
@@ -157,7 +174,7 @@
     private boolean mayBecomeStatusLine() {
         int length = held.length - lineStart;
         return status != 0
-                || length <= STATUS_LINE_START.length
+                || length <= PROTOCOL_BYTES.length
                 || STATUS_LINE_PREFIX
                         .matcher(new String(held, lineStart, length, StandardCharsets.ISO_8859_1))
                         .matches();
--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -114,6 +114,20 @@
         assertNoneIsCompletedWithAnother(exchanges);
     }
 
+    /** Guards against a copy whose head goes on with a head that the body quotes, and counts as a part of it. */
+    @Test
+    void quoteCutAtAnyByteIsNotCompletedWithACopy() throws Exception {
+        List<Exchange> exchanges = new ArrayList<>();
+        for (String quote : QUOTES) {
+            for (int cut = 0; cut < quote.length(); cut++) {
+                String completed = quote.substring(0, cut) + Framing.LENGTH.response("first", BODY);
+                String written = Framing.LENGTH.response("second", completed);
+                exchanges.add(new Exchange(written, List.of(), Integer.MAX_VALUE));
+            }
+        }
+        assertNoneIsCompletedWithAnother(exchanges);
+    }
+
     /** Guards against a copy on an interface whose responses name no request. */
     @ParameterizedTest
     @EnumSource
