Reword comments of the search of bodies

Three class comments used a word that the glossary replaces, and two checks did not say what they rest on. No code is changed; the modules compile with linter and formatter.

--- a/gateway/src/main/java/io/endiveshed/gateway/internal/EmbeddedResponses.java
+++ b/gateway/src/main/java/io/endiveshed/gateway/internal/EmbeddedResponses.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /**
- * Tells responses of targets that begin within the body of another response from bodies that quote one. Confined to one
+ * Distinguishes responses of targets that begin within the body of another response from quotes. Confined to one
  * event loop.
  *
  * <pre>{@code
@@ -46,6 +46,7 @@
         return isStreaming ? EmbeddedResponses::hasOtherThanEventFields : this::namesOtherRequest;
     }
 
+    /** Returns whether a line after the status line is no field of an event, as all lines of an event stream are. */
     private static boolean hasOtherThanEventFields(List<Header> response, List<Header> embedded) {
         return embedded.stream().anyMatch(field -> !EVENT_FIELDS.contains(field.name()));
     }
--- a/net/src/main/java/io/endiveshed/net/http/EmbeddedResponseCheck.java
+++ b/net/src/main/java/io/endiveshed/net/http/EmbeddedResponseCheck.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /**
- * Tells the head of another response from quoted text. A server that breaks off in a body and goes on with another
+ * Distinguishes the head of another response from quoted text. A server that breaks off in a body and goes on with another
  * response leaves that response's head within the body; a body may also quote such a head rightly.
  */
 @FunctionalInterface
--- a/net/src/main/java/io/endiveshed/net/http/HttpCall.java
+++ b/net/src/main/java/io/endiveshed/net/http/HttpCall.java
@@ -121,6 +121,7 @@
         ExchangeOptions options = ExchangeOptions.builder()
                 .responseOwner(response ->
                         isOwnResponse.test(response) ? ResponseOwner.CURRENT_REQUEST : ResponseOwner.OTHER_REQUEST)
+                // The body of a response to this call holds no response to another one, and the reverse.
                 .embeddedResponseCheck(
                         (response, embedded) -> isOwnResponse.test(response) != isOwnResponse.test(embedded))
                 .build();
--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseBodyGuard.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseBodyGuard.java
@@ -9,7 +9,7 @@
 import java.util.OptionalLong;
 
 /**
- * Tells whether the body of a response was completed with the bytes of another response: the server broke off in the
+ * Detects whether the body of a response was completed with the bytes of another response: the server broke off in the
  * body and wrote the other response on the same connection.
  *
  * <p>Three things show it. The body contains a head that belongs to another response, or the response's own head once
