Take a repeated head for a copy only where a body ends with its connection

A chunked answer that quotes its own head would have failed: a head within a body that equals the response's own was taken for a copy of it in any framing.

Cause: only a body that ends with its connection needs that rule. With a length a copy of the answer itself never fits, so the bytes that follow show it, and in chunks the codec rejects it.

Change: the rule is limited to bodies that end with their connection.

The new test was not run on the code before.

--- a/net/src/main/java/io/endiveshed/net/http/internal/ResponseBodyGuard.java
+++ b/net/src/main/java/io/endiveshed/net/http/internal/ResponseBodyGuard.java
@@ -12,13 +12,14 @@
  * Detects whether the body of a response was completed with the bytes of another response: the server broke off in the
  * body and wrote the other response on the same connection.
  *
- * <p>Three things show it. The body contains a head that belongs to another response, or the response's own head once
- * more. Or, if the body has a length, it ends within a head or within the body that a head announces, and the bytes that
- * follow go on with that. A body that quotes a response is followed by nothing, or by the head of the next response.
+ * <p>Three things show it. The body contains a head that belongs to another response. Or, if it ends with its connection,
+ * it contains the response's own head once more. Or, if it has a length, it ends within a head or within the body that a
+ * head announces, and the bytes that follow go on with that. A body that quotes a response is followed by nothing, or by the head of the next response.
  */
 final class ResponseBodyGuard {
     private static final byte[] RESPONSE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private static final String LENGTH_FIELD = "Content-Length";
+    private static final String CHUNKED_FIELD = "Transfer-Encoding";
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int FIRST_FINAL_STATUS = 200;
@@ -26,6 +27,7 @@
     private final int status;
     private final List<Header> headers;
     private final OptionalLong length;
+    private final boolean endsWithConnection;
     private final EmbeddedResponseCheck check;
     private final ResponseHeadScanner scanner = new ResponseHeadScanner(new EmbeddedHeads());
     private boolean isInterrupted;
@@ -48,6 +50,8 @@
         this.status = status;
         this.headers = headers;
         this.length = length;
+        this.endsWithConnection = length.isEmpty()
+                && headers.stream().noneMatch(header -> header.name().equalsIgnoreCase(CHUNKED_FIELD));
         this.check = check;
     }
 
@@ -151,7 +155,8 @@
         @Override
         public boolean headEnded(int headStatus, List<Header> fields, long offset) {
             boolean isAcrossEnd = following.length > 0;
-            if (isAcrossEnd || (headStatus == status && fields.equals(headers))) {
+            boolean isRepeated = endsWithConnection && headStatus == status && fields.equals(headers);
+            if (isAcrossEnd || isRepeated) {
                 recordInterruption(headStatus, fields);
             }
             mayContinue |= endsAfterBody(headStatus, fields, offset);
--- a/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
+++ b/net/src/test/java/io/endiveshed/net/http/InterruptedBodyTest.java
@@ -215,6 +215,15 @@
         }
     }
 
+    /** Guards against a request that fails because its answer quotes its own head. */
+    @ParameterizedTest
+    @EnumSource(names = {"ONE_CHUNK", "SEVERAL_CHUNKS"})
+    void responseThatQuotesItsOwnHeadIsPassedOn(Framing framing) throws Exception {
+        String quote = Framing.head("second", "Transfer-Encoding: chunked") + BODY;
+        assertThat(run(new Exchange(framing.response("second", quote), List.of(quote), SEGMENT_BYTES)))
+                .isEqualTo(Optional.of(quote));
+    }
+
     /** Guards against a request that fails because a copy of another response follows its answer, which quotes one. */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "UNTIL_CLOSE")
